Take SIGHUP, seat clients that have not asked in a small lobby, read first lines strictly

Causes, checked in logs and with the new stories: - main.rs had no handler for SIGHUP. Now the file is read and checked again; a bad one is one log line.

--- a/src/broker/instances.rs
+++ b/src/broker/instances.rs
@@ -116,6 +116,7 @@
             // What a whole list leaves out is gone.
             let named: BTreeSet<HostId> = entries.iter().map(|e| e.host).collect();
             for (_, left) in self.by_id.iter_mut().filter(|(id, _)| !named.contains(id)) {
+                log::info!("discovery: instance {} is no longer listed", left.name);
                 left.state = HostState::Gone;
             }
         }
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -32,6 +32,8 @@
     Probe(HostId, SocketAddr),
     /// Watch discovery from this version of the list on, and say so when the watch ends.
     Watch(u64),
+    /// Discovery is at this address from now on.
+    Discovery(SocketAddr),
 }
 
 /// What the module, or the program's end, says to a command.
@@ -50,6 +52,17 @@
     GivenUp,
     /// No answer came before the service client's deadline.
     Deadline,
+    /// The service client spoke before it had its answer.
+    OutOfTurn,
+}
+
+/// Why a command is over before its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Gone {
+    /// The service client has left.
+    Left,
+    /// It broke the protocol, and is owed a failure.
+    OutOfTurn,
 }
 
 /// How a standing connection ended.
@@ -103,8 +116,8 @@
 pub trait Client {
     /// An open connection to an instance that has accepted.
     type Link;
-    /// Ends when the service client has left.
-    async fn gone(&mut self);
+    /// Ends when the service client has left, or has lost its claim to be served.
+    async fn gone(&mut self) -> Gone;
     /// Passes everything on, both ways, until the connection ends.
     async fn stand(&mut self, link: Self::Link, command: &mut Command) -> Ended;
     /// Final answer: refused; come again after so long.
@@ -125,7 +138,7 @@
         let word = tokio::select! {
             biased;
             word = command.word() => word,
-            () = client.gone() => return command.vanished(),
+            gone = client.gone() => return command.gone(gone, client).await,
         };
         let (instance, patience) = match word {
             Word::Execute { instance, patience } => (instance, patience),
@@ -139,7 +152,7 @@
             came = dialer.execute(&execution) => came,
             () = broker.until(execution.until) => Err(Outcome::Timeout),
             // Dropping `execute` closes the attempt before its end is told: never two outstanding.
-            () = client.gone() => return command.vanished(),
+            gone = client.gone() => return command.gone(gone, client).await,
         };
         match came {
             Ok(link) => break link,
@@ -168,7 +181,7 @@
             biased;
             came = tried => came,
             () = broker.until(until) => return client.fail(Failure::Deadline).await,
-            () = client.gone() => return,
+            gone = client.gone() => return part(gone, client).await,
         };
         match came {
             Some(link) => break link,
@@ -183,6 +196,12 @@
     command.ended(ended);
 }
 
+async fn part<C: Client>(gone: Gone, client: &mut C) {
+    if gone == Gone::OutOfTurn {
+        client.fail(Failure::OutOfTurn).await
+    }
+}
+
 /// Between two tries to take up a connection that stood before.
 const ADOPT_AGAIN: Micros = 200_000;
 
@@ -303,6 +322,12 @@
         self.deadlines.sweep(self.clock, |token| self.tell(Event::Timer { token })).await
     }
 
+    /// Discovery is at this address from now on.
+    pub fn discovery_at(&self, address: SocketAddr) {
+        // Cannot fail while the program runs: main holds the other end.
+        let _ = self.orders.send(Order::Discovery(address));
+    }
+
     /// News of the list.
     pub fn listed(&self, kind: ListKind, listing: Listing) {
         let hosts = self.state.borrow_mut().instances.news(kind, listing, &self.names);
@@ -547,8 +572,10 @@
         self.finish(Outcome::Cancelled, true);
     }
 
-    fn vanished(mut self) {
+    /// The attempt's end is told before the service client is: never two outstanding.
+    async fn gone<C: Client>(mut self, gone: Gone, client: &mut C) {
         self.vanish();
+        part(gone, client).await
     }
 
     /// Ends when the service client is to be asked to come again.
--- a/src/config.rs
+++ b/src/config.rs
@@ -3,7 +3,8 @@
 use crate::broker::instances::Listing;
 use crate::wire::{Env, Project};
 use serde::Deserialize;
-use std::collections::BTreeMap;
+use serde_json::{Map, Value};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 
@@ -44,11 +45,23 @@
 }
 
 impl Config {
-    /// Reads a file.
-    pub fn read(path: &Path) -> Result<Config, String> {
+    /// Reads a file; its text too, to compare the next one with.
+    pub fn read(path: &Path) -> Result<(Config, String), String> {
         let text =
             std::fs::read_to_string(path).map_err(|e| format!("cannot read {}: {e}", path.display()))?;
-        serde_json::from_str(&text).map_err(|e| format!("{} is no configuration: {e}", path.display()))
+        let wrong = |e| format!("{} is no configuration: {e}", path.display());
+        Ok((serde_json::from_str(&text).map_err(wrong)?, text))
+    }
+
+    /// The names of what differs in the text of another configuration, discovery's address left out: all that
+    /// a running balancer can take over. The list that a start begins from and the seed are meant for a start.
+    pub fn ignored(before: &str, now: &str) -> Vec<String> {
+        let read = |text| serde_json::from_str(text).unwrap_or_default();
+        let (before, now): (Map<String, Value>, Map<String, Value>) = (read(before), read(now));
+        let names: BTreeSet<&String> = before.keys().chain(now.keys()).collect();
+        let differs = |name: &&String| before.get(*name) != now.get(*name);
+        let start = |name: &str| matches!(name, "discovery" | "known" | "seed");
+        names.into_iter().filter(differs).filter(|name| !start(name)).cloned().collect()
     }
 
     /// The seed as a number; one that is no hex number is as good for its bytes.
--- a/src/main.rs
+++ b/src/main.rs
@@ -4,16 +4,20 @@
 use oakdeal::broker::Broker;
 use oakdeal::config::{self, Config, Xmpp};
 use oakdeal::net;
+use oakdeal::net::lobby::Lobby;
 use oakdeal::net::xmpp::Front;
-use std::path::PathBuf;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::rc::Rc;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::task::spawn_local;
 
-/// Descriptors that are kept for other things than connections: the listeners, discovery, the runtime's own.
-const RESERVED: usize = 48;
+/// Descriptors that are kept for other things than connections: the listeners, discovery, the runtime's own,
+/// and connections of the lobby that are about to end.
+const RESERVED: usize = 32;
+/// Of the rest, this part are seats of the lobby, so that those who ask nothing never take from those who do.
+const LOBBY: usize = 5;
 /// The XMPP front's file, unless `OAKDEAL_XMPP` names another; absent, the front is off.
 const XMPP: &str = "deploy/xmpp.toml";
 /// The file of the services' contracts, unless `OAKDEAL_SERVICES` names another; absent, there are none.
@@ -22,8 +26,12 @@
 const SHORTEST_END: u64 = 3_000_000;
 
 async fn run() -> Result<(), String> {
+    // Taken from the first moment on: without a handler SIGHUP ends the process.
+    let taken = |kind| signal(kind).map_err(|e| format!("cannot take signals: {e}"));
+    let (mut term, mut hang_up) = (taken(SignalKind::terminate())?, taken(SignalKind::hangup())?);
     let path = std::env::var_os("LB_CONFIG").ok_or("LB_CONFIG must name the configuration file")?;
-    let mut config = Config::read(&PathBuf::from(path))?;
+    let path = PathBuf::from(path);
+    let (mut config, text) = Config::read(&path)?;
     let xmpp = std::env::var_os("OAKDEAL_XMPP").map_or(PathBuf::from(XMPP), PathBuf::from);
     let xmpp = Xmpp::read(&xmpp)?;
     let services = std::env::var_os("OAKDEAL_SERVICES").map_or(PathBuf::from(SERVICES), PathBuf::from);
@@ -36,12 +44,14 @@
     settings.delays_told = false;
     let seed = config.seed();
     let descriptors = config.limits.sockets.saturating_sub(RESERVED);
-    let (broker, ordered) = Broker::new(settings, names, seed, descriptors).map_err(|e| e.to_string())?;
+    let seats = descriptors / LOBBY;
+    let (broker, ordered) =
+        Broker::new(settings, names, seed, descriptors - seats).map_err(|e| e.to_string())?;
+    let lobby = Lobby::new(broker.clone(), seats);
     let listener = TcpListener::bind(config.listen)
         .await
         .map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
     let at = listener.local_addr().map_err(|e| e.to_string())?;
-    let mut term = signal(SignalKind::terminate()).map_err(|e| format!("cannot take signals: {e}"))?;
 
     let sweeper = broker.clone();
     spawn_local(async move { sweeper.sweep().await });
@@ -51,8 +61,8 @@
     } else {
         broker.watch_ended();
     }
-    let fronted = broker.clone();
-    let serve = move |stream, from| net::platform::serve(fronted.clone(), stream, from);
+    let guests = lobby.clone();
+    let serve = move |stream, from| net::platform::serve(guests.clone(), stream, from);
     spawn_local(net::accept(broker.clone(), listener, "clients", serve));
     log::info!("{} serves {at}", config.name);
     if let Some(file) = xmpp {
@@ -61,16 +71,49 @@
         let listener =
             TcpListener::bind(address).await.map_err(|e| format!("cannot listen on {address}: {e}"))?;
         let at = listener.local_addr().map_err(|e| e.to_string())?;
-        let serve = move |stream, from| net::xmpp::serve(front.clone(), stream, from);
+        let serve = move |stream, from| net::xmpp::serve(front.clone(), lobby.clone(), stream, from);
         spawn_local(net::accept(broker.clone(), listener, "xmpp clients", serve));
         log::info!("{} serves XMPP on {at}", config.name);
     }
 
-    term.recv().await;
-    leave(&broker).await;
+    let reloads = async {
+        while hang_up.recv().await.is_some() {
+            reload(&broker, &path, &text);
+        }
+    };
+    let ends = async {
+        term.recv().await;
+        leave(&broker).await;
+    };
+    tokio::select! {
+        () = ends => {}
+        // It ends only with the runtime.
+        () = reloads => {}
+    }
     Ok(())
 }
 
+/// Reads the configuration again. A bad one leaves the old one in force; of a good one a running balancer
+/// takes over where discovery is, and says what it does not.
+fn reload(broker: &Broker, path: &Path, begun: &str) {
+    let read = Config::read(path).and_then(|(config, text)| {
+        let (settings, _) = config.settings.translate().map_err(|e| e.to_string())?;
+        settings.validate().map_err(|e| e.to_string())?;
+        Ok((config.discovery, text))
+    });
+    match read {
+        Ok((discovery, now)) => {
+            let ignored = match &Config::ignored(begun, &now)[..] {
+                [] => String::new(),
+                names => format!("; ignored until the next start: {}", names.join(", ")),
+            };
+            log::info!("configuration read again: discovery is at {discovery}{ignored}");
+            broker.discovery_at(discovery);
+        }
+        Err(e) => log::error!("configuration not taken over, the old one stays in force: {e}"),
+    }
+}
+
 /// The program is to end: it goes on answering, and asks every client to come again, in time before it may
 /// be killed. It ends when nothing is left and it could have been killed by then.
 async fn leave(broker: &Rc<Broker>) {
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -5,13 +5,14 @@
 use crate::broker::instances::Listing;
 use crate::broker::Broker;
 use http_body_util::{BodyExt, Empty};
-use hyper::body::Bytes;
+use hyper::body::{Bytes, Incoming};
 use hyper::{Request, StatusCode};
 use hyper_util::rt::TokioIo;
+use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::TcpStream;
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, JoinHandle};
 
 /// A call that has no answer by then has failed.
 const CALL: u64 = 3_000_000;
@@ -21,54 +22,141 @@
 /// The longest line taken: room for thousands of instances.
 const LINE: usize = 4 << 20;
 
-/// Watches until the watch ends, and says so.
-pub async fn watch(broker: Rc<Broker>, discovery: SocketAddr, from: u64) {
-    if let Err(e) = run(&broker, discovery, from).await {
-        log::warn!("discovery: the watch ended: {e}");
+/// The watches: one in use, and after discovery has moved the one before, until the new address has told the
+/// whole list. In between both are heard, so that there is no gap in what is known.
+pub struct Watcher {
+    broker: Rc<Broker>,
+    address: Cell<SocketAddr>,
+    /// How often discovery has moved, and after which move it was last heard.
+    moves: Cell<u64>,
+    heard: Cell<u64>,
+    current: RefCell<Option<JoinHandle<()>>>,
+    older: RefCell<Vec<JoinHandle<()>>>,
+}
+
+impl Watcher {
+    /// One that watches nothing yet.
+    pub fn new(broker: Rc<Broker>, address: SocketAddr) -> Rc<Watcher> {
+        let (moves, heard) = (Cell::new(0), Cell::new(0));
+        let (current, older) = (RefCell::default(), RefCell::default());
+        Rc::new(Watcher { broker, address: Cell::new(address), moves, heard, current, older })
+    }
+
+    fn watches(&self) -> bool {
+        self.current.borrow().as_ref().is_some_and(|watch| !watch.is_finished())
+    }
+
+    /// Watches from this version of the list on, unless a watch is there already.
+    pub fn watch(self: &Rc<Self>, from: u64) {
+        if self.watches() {
+            return;
+        }
+        // Versions of one discovery mean nothing to the next: from that the whole list is wanted first.
+        let from = Some(from).filter(|_| self.heard.get() == self.moves.get());
+        let (watcher, address, moves) = (self.clone(), self.address.get(), self.moves.get());
+        let watch = spawn_local(async move {
+            if let Err(e) = watcher.run(address, from).await {
+                log::warn!("discovery: the watch at {address} ended: {e}");
+            }
+            // Nobody waits for the end of one that was left, unless it was the last that told anything.
+            if moves == watcher.moves.get() || !watcher.watches() {
+                watcher.broker.watch_ended();
+            }
+        });
+        *self.current.borrow_mut() = Some(watch);
+    }
+
+    /// Discovery is elsewhere from now on.
+    pub fn moved(self: &Rc<Self>, address: SocketAddr) {
+        if self.address.replace(address) != address {
+            self.moves.set(self.moves.get() + 1);
+            self.older.borrow_mut().extend(self.current.take());
+            self.watch(0);
+        }
+    }
+
+    async fn run(&self, discovery: SocketAddr, from: Option<u64>) -> Result<(), String> {
+        let broker = &self.broker;
+        let from = match from {
+            Some(from) => from,
+            None => {
+                let mut body = call(broker, discovery, "/catalog/members").await?;
+                let mut text = Vec::new();
+                while let Some(more) = next(broker, &mut body).await? {
+                    text.extend_from_slice(&more);
+                    bounded(&text)?;
+                }
+                let listing = listing(&text)?;
+                let index = listing.index;
+                self.heard.set(self.moves.get());
+                self.older.borrow_mut().drain(..).for_each(|old| old.abort());
+                broker.listed(ListKind::Full, listing);
+                index
+            }
+        };
+        let mut body = call(broker, discovery, &format!("/catalog/members?watch=1&from={from}")).await?;
+        let mut held: Vec<u8> = Vec::new();
+        while let Some(more) = next(broker, &mut body).await? {
+            held.extend_from_slice(&more);
+            let whole = held.iter().rposition(|&b| b == b'\n').map_or(0, |i| i + 1);
+            for line in held[..whole].split(|&b| b == b'\n').map(trimmed).filter(|line| !line.is_empty()) {
+                let listing = listing(line)?;
+                let kind = if listing.snapshot { ListKind::Full } else { ListKind::Changes };
+                broker.listed(kind, listing);
+            }
+            held.drain(..whole);
+            bounded(&held)?;
+        }
+        Err("discovery closed it".into())
     }
-    broker.watch_ended();
 }
 
-async fn run(broker: &Rc<Broker>, discovery: SocketAddr, from: u64) -> Result<(), String> {
-    let text = |e: &dyn std::fmt::Display| e.to_string();
+fn text(e: impl std::fmt::Display) -> String {
+    e.to_string()
+}
+
+fn listing(json: &[u8]) -> Result<Listing, String> {
+    serde_json::from_slice(json).map_err(|e| format!("what came is no list of instances: {e}"))
+}
+
+fn bounded(held: &[u8]) -> Result<(), String> {
+    match held.len() > LINE {
+        true => Err("a line without an end".into()),
+        false => Ok(()),
+    }
+}
+
+/// One call; its answer's body.
+async fn call(broker: &Rc<Broker>, discovery: SocketAddr, path: &str) -> Result<Incoming, String> {
     let call = async {
-        let stream = TcpStream::connect(discovery).await.map_err(|e| text(&e))?;
+        let stream = TcpStream::connect(discovery).await.map_err(text)?;
         let _ = stream.set_nodelay(true);
         let (mut sender, connection) =
-            hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.map_err(|e| text(&e))?;
+            hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.map_err(text)?;
         // Its errors show in the answer; it ends with it.
         spawn_local(async { connection.await.unwrap_or_default() });
-        let path = format!("/catalog/members?watch=1&from={from}");
         let request = Request::get(path).header("host", discovery.to_string());
-        let request = request.body(Empty::<Bytes>::new()).map_err(|e| text(&e))?;
-        sender.send_request(request).await.map_err(|e| text(&e))
+        let request = request.body(Empty::<Bytes>::new()).map_err(text)?;
+        sender.send_request(request).await.map_err(text)
     };
     let answer = tokio::select! {
         answer = call => answer?,
         () = broker.after(CALL.min(broker.must_ask_in() / 2)) => return Err("no answer in time".into()),
     };
-    if answer.status() != StatusCode::OK {
-        return Err(format!("answered {}", answer.status()));
+    match answer.status() {
+        StatusCode::OK => Ok(answer.into_body()),
+        status => Err(format!("answered {status}")),
     }
-    let mut body = answer.into_body();
-    let mut held: Vec<u8> = Vec::new();
-    loop {
-        let frame = tokio::select! {
-            frame = body.frame() => frame,
-            () = broker.after(SILENT) => return Err("it fell silent".into()),
-        };
-        let Some(frame) = frame else { return Err("discovery closed it".into()) };
-        held.extend_from_slice(frame.map_err(|e| text(&e))?.data_ref().unwrap_or(&Bytes::new()));
-        let whole = held.iter().rposition(|&b| b == b'\n').map_or(0, |i| i + 1);
-        for line in held[..whole].split(|&b| b == b'\n').map(trimmed).filter(|line| !line.is_empty()) {
-            let listing: Listing =
-                serde_json::from_slice(line).map_err(|e| format!("a line is no list of instances: {e}"))?;
-            let kind = if listing.snapshot { ListKind::Full } else { ListKind::Changes };
-            broker.listed(kind, listing);
-        }
-        held.drain(..whole);
-        if held.len() > LINE {
-            return Err("a line without an end".into());
-        }
+}
+
+/// What comes next of a body; none at its end.
+async fn next(broker: &Rc<Broker>, body: &mut Incoming) -> Result<Option<Bytes>, String> {
+    let frame = tokio::select! {
+        frame = body.frame() => frame,
+        () = broker.after(SILENT) => return Err("it fell silent".into()),
+    };
+    match frame {
+        Some(frame) => Ok(Some(frame.map_err(text)?.into_data().unwrap_or_default())),
+        None => Ok(None),
     }
 }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,11 +3,13 @@
 pub mod buffer;
 pub mod discovery;
 pub mod links;
+pub mod lobby;
 pub mod platform;
 pub mod relay;
 pub mod xmpp;
 
 use crate::broker::{Broker, Order};
+use discovery::Watcher;
 use std::cell::RefCell;
 use std::collections::BTreeMap;
 use std::future::Future;
@@ -20,7 +22,7 @@
 /// Does what the core asks of the network, for ever.
 pub async fn orders(broker: Rc<Broker>, mut ordered: UnboundedReceiver<Order>, discovery: SocketAddr) {
     let probes: RefCell<BTreeMap<u32, JoinHandle<()>>> = RefCell::default();
-    let mut watch: Option<JoinHandle<()>> = None;
+    let watcher = Watcher::new(broker.clone(), discovery);
     while let Some(order) = ordered.recv().await {
         match order {
             Order::Probe(host, address) => {
@@ -30,17 +32,17 @@
                     old.abort();
                 }
             }
-            Order::Watch(from) => {
-                if let Some(old) =
-                    watch.replace(spawn_local(discovery::watch(broker.clone(), discovery, from)))
-                {
-                    old.abort();
-                }
-            }
+            Order::Watch(from) => watcher.watch(from),
+            Order::Discovery(address) => watcher.moved(address),
         }
     }
 }
 
+/// Descriptors of a connection with a command: its own and its link's.
+pub const CONNECTION: usize = 2;
+/// So many connections are accepted in a row before those that are there have their turn.
+const ROW: usize = 16;
+
 /// Accepts for ever. A lack of descriptors, ours or the system's, is survived: it is logged once each time it
 /// begins, and accepting pauses until connections have ended.
 pub async fn accept<F, S>(broker: Rc<Broker>, listener: TcpListener, what: &'static str, serve: F)
@@ -48,8 +50,12 @@
     F: Fn(TcpStream, SocketAddr) -> S,
     S: Future<Output = ()> + 'static,
 {
-    let mut failing = false;
+    let (mut failing, mut row) = (false, 0);
     loop {
+        row += 1;
+        if row % ROW == 0 {
+            tokio::task::yield_now().await;
+        }
         match listener.accept().await {
             Ok((stream, from)) => {
                 failing = false;
--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -2,10 +2,11 @@
 
 use super::buffer::{trimmed, LINE};
 use super::links::{self, Link};
-use super::relay;
+use super::lobby::{Lobby, Over, FIRST};
+use super::{relay, CONNECTION};
 use crate::api::{Demand, Micros, Outcome};
 use crate::broker::instances::number;
-use crate::broker::{carry, carry_on, Broker, Client, Command, Dialer, Ended, Execution, Failure};
+use crate::broker::{carry, carry_on, Broker, Client, Command, Dialer, Ended, Execution, Failure, Gone};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::TcpStream;
@@ -14,14 +15,13 @@
 use winnow::token::take_till;
 use winnow::{ModalResult, Parser};
 
-/// A connection that sends no first line for so long is closed: the front's checks come every few seconds.
+/// One that has been answered `PONG` may be silent for so long: the front's checks come every few seconds.
 const IDLE: u64 = 60_000_000;
-/// A client that does not take its answer, or does not close, is waited for this long.
+/// A client that does not take its answer is waited for this long.
 const LINGER: u64 = 1_000_000;
-/// A client that writes before it is served is read this far.
-const EARLY: usize = 4 * LINE;
-/// Descriptors of a connection: its own and its link's.
-const DESCRIPTORS: usize = 2;
+/// The longest wait that a client can mean, in milliseconds: a day. Those that stood before a start have no
+/// deadline of their own, and name one that is very long.
+const LONGEST: f64 = 86_400_000.0;
 
 /// A first line.
 #[derive(Debug, PartialEq)]
@@ -46,11 +46,27 @@
     parsed.ok().filter(|x| x.is_finite())
 }
 
+/// Milliseconds that a client will wait: a plain number, and one that somebody can mean. A huge or negative
+/// one would be served as if it had been read.
+fn wait_of(text: &str) -> Option<f64> {
+    let plain = text.bytes().all(|b| b.is_ascii_digit() || b == b'.');
+    number_of(text).filter(|ms| plain && (0.0..=LONGEST).contains(ms))
+}
+
 impl<'a> Open<'a> {
     /// Reads a first line; what is wrong with it is said in words.
     pub fn parse(line: &'a [u8]) -> Result<Open<'a>, String> {
         let text = std::str::from_utf8(line).map_err(|_| "is not UTF-8")?;
-        open.parse(text).map_err(|_| "is not OPEN ID KEY NAME=VALUE,...".into())
+        if text.chars().any(char::is_control) {
+            return Err("has control characters".into());
+        }
+        let open = open.parse(text).map_err(|_| "is not OPEN ID KEY NAME=VALUE,...")?;
+        // Which of the two would count is anybody's guess, and the instance's may be another one.
+        let again = |(i, (name, _)): (usize, &(&str, &str))| open.fields[..i].iter().any(|(n, _)| n == name);
+        match open.fields.iter().enumerate().any(again) {
+            true => Err("names something twice".into()),
+            false => Ok(open),
+        }
     }
 
     fn get(&self, name: &str) -> Option<&'a str> {
@@ -62,15 +78,17 @@
         let names = broker.names();
         let class = self.get("c").ok_or("names no class")?;
         let class = names.class(class).ok_or_else(|| format!("names the unknown class {class:.40?}"))?;
-        let left = self.get("d").and_then(number_of).ok_or("has no deadline")?;
+        let left = self.get("d").ok_or("has no deadline")?;
+        let left = wait_of(left).ok_or_else(|| format!("has no deadline in {left:.40?}"))?;
+        let hint = self.get("h").map(|h| number_of(h).ok_or_else(|| format!("has no load in {h:.40?}")));
         Ok(Demand {
             key: Some(self.key.into()),
             group: self.get("g").map(Into::into),
             tenant: self.get("t").and_then(|name| names.tenant(name)).or_else(|| broker.service_of(class)),
-            hint: self.get("h").and_then(number_of).map(|ms| ms * 1000.0),
+            hint: hint.transpose()?.map(|ms| ms * 1000.0),
             repeat: self.get("r") == Some("1"),
             returned: self.get("again") == Some("1"),
-            ..Demand::new(self.id, class, (left.max(0.0) * 1000.0) as u64)
+            ..Demand::new(self.id, class, (left * 1000.0) as u64)
         })
     }
 
@@ -89,62 +107,89 @@
     }
 }
 
-/// Serves one connection from its first line to its end.
-pub async fn serve(broker: Rc<Broker>, stream: TcpStream, from: SocketAddr) {
-    let mut peer = Peer { link: Link::new(stream), broker: broker.clone() };
-    // Counted from the start: connections that ask nothing hold descriptors too, and one that cannot have its
-    // link must not fail at its instance.
-    let Some(_guard) = broker.descriptors(DESCRIPTORS) else {
-        log::warn!("client {from}: refused, no descriptors are left");
-        return peer.answer("BUSY\r\n").await;
-    };
-    let first = loop {
+/// How a connection began.
+enum First {
+    /// With a whole line; nothing may follow before it is answered.
+    Line(Vec<u8>),
+    /// In a way that is owed this answer.
+    Bad(String),
+    /// In no way that is owed any.
+    Nothing,
+}
+
+/// Reads up to the first line that is no check of the front.
+async fn first_line(peer: &mut Peer, lobby: &Rc<Lobby>) -> First {
+    let seat = lobby.seat();
+    let mut until = peer.broker.now() + FIRST;
+    loop {
         let line = tokio::select! {
+            biased;
             line = peer.link.line() => line,
-            () = broker.after(IDLE) => return,
+            over = seat.over(until) => return match over {
+                Over::Wanted => First::Bad("BUSY".into()),
+                Over::Late if peer.link.buffer.data().is_empty() => First::Nothing,
+                Over::Late => First::Bad("ERR no whole line in time".into()),
+            },
         };
         let n = match line {
             Ok(n) => n,
-            Err(e) if e.kind() == std::io::ErrorKind::InvalidData => {
-                log::warn!("client {from}: sent {e}");
-                return peer.answer("ERR line too long\r\n").await;
-            }
-            Err(_) => {
-                // Nothing was asked, so nothing is owed: the front's checks end like this.
-                if !peer.link.buffer.data().is_empty() {
-                    log::warn!("client {from}: left within its first line");
-                }
-                return;
-            }
+            Err(e) if e.kind() == std::io::ErrorKind::InvalidData => return First::Bad(format!("ERR {e}")),
+            // Nothing was asked, so nothing is owed: the front's checks end like this.
+            Err(_) if peer.link.buffer.data().is_empty() => return First::Nothing,
+            Err(_) => return First::Bad("ERR half a line".into()),
         };
         let line = trimmed(&peer.link.buffer.data()[..n]).to_vec();
         peer.link.buffer.consume(n);
         if line != b"PING" {
-            break line;
+            // Whoever has not waited for an answer cannot be served: what it sent would go to the instance.
+            return match peer.link.buffer.data() {
+                [] => First::Line(line),
+                _ => First::Bad("ERR out of turn".into()),
+            };
         }
         if peer.link.write(b"PONG\r\n").await.is_err() {
-            return;
+            return First::Nothing;
         }
-    };
-    let read = Open::parse(&first).and_then(|open| Ok((open.demand(&broker)?, open)));
-    let (demand, open) = match read {
-        // The module books by id: a second one under the same would answer for the first.
-        Ok((demand, _)) if broker.knows(&demand.call.0) => {
-            log::warn!("client {from}: its id {} is in use", demand.call.0);
-            return peer.answer("ERR id in use\r\n").await;
+        until = peer.broker.now() + if peer.link.buffer.data().is_empty() { IDLE } else { FIRST };
+    }
+}
+
+/// Serves one connection from its first line to its end.
+pub async fn serve(lobby: Rc<Lobby>, stream: TcpStream, from: SocketAddr) {
+    let mut peer = Peer { link: Link::new(stream), broker: lobby.broker().clone() };
+    match first_line(&mut peer, &lobby).await {
+        First::Nothing => return,
+        First::Line(line) => {
+            if let Err(answer) = ask(&mut peer, &line).await {
+                log::warn!("client {from}: {answer}");
+                peer.answer(&answer).await;
+            }
         }
-        Ok(read) => read,
-        Err(why) => {
-            log::warn!("client {from}: its first line {why}");
-            return peer.answer(&format!("ERR first line {why}\r\n")).await;
+        First::Bad(answer) => {
+            log::warn!("client {from}: {answer}");
+            peer.answer(&answer).await;
         }
-    };
+    }
+    relay::close(&lobby, &mut peer.link).await;
+}
+
+/// Carries the command that a first line asks for; what is wrong with it is the answer that it is owed.
+async fn ask(peer: &mut Peer, line: &[u8]) -> Result<(), String> {
+    let broker = peer.broker.clone();
+    let read = Open::parse(line).and_then(|open| Ok((open.demand(&broker)?, open)));
+    let (demand, open) = read.map_err(|why| format!("ERR first line {why}"))?;
+    // The module books by id: a second one under the same would answer for the first.
+    if broker.knows(&demand.call.0) {
+        return Err("ERR id in use".into());
+    }
+    // Counted before it is taken: one that cannot have its link must not fail at its instance.
+    let _both = broker.descriptors(CONNECTION).ok_or("BUSY")?;
     let dialer = Lines { open: &open, broker: &broker };
     match open.get("at") {
-        Some(at) => carry_on(&broker, demand, number(at), &mut peer, &dialer).await,
-        None => carry(&broker, demand, &mut peer, &dialer).await,
+        Some(at) => carry_on(&broker, demand, number(at), peer, &dialer).await,
+        None => carry(&broker, demand, peer, &dialer).await,
     }
-    relay::close(&broker, &mut peer.link).await;
+    Ok(())
 }
 
 /// The side that faces instances.
@@ -169,33 +214,23 @@
 }
 
 impl Peer {
-    /// Writes a last line and closes in such a way that it arrives: closing a socket with bytes unread would
-    /// reset the connection, and the line might be lost.
+    /// Writes a last line; `serve` then closes in such a way that it arrives.
     async fn answer(&mut self, line: &str) {
-        let written = async {
-            let _ = self.link.write(line.as_bytes()).await;
-        };
+        let line = format!("{line}\r\n");
         tokio::select! {
-            () = written => {}
-            () = self.broker.after(LINGER) => return,
+            _ = self.link.write(line.as_bytes()) => {}
+            () = self.broker.after(LINGER) => {}
         }
-        relay::close(&self.broker, &mut self.link).await;
     }
 }
 
 impl Client for Peer {
     type Link = Link;
 
-    async fn gone(&mut self) {
-        loop {
-            if self.link.buffer.data().len() >= EARLY {
-                // It wrote much before it was served; what more it does is seen later.
-                std::future::pending::<()>().await;
-            }
-            match self.link.buffer.filled(&self.link.stream, EARLY).await {
-                Ok(n) if n > 0 => {}
-                _ => return,
-            }
+    async fn gone(&mut self) -> Gone {
+        match self.link.buffer.filled(&self.link.stream, LINE).await {
+            Ok(n) if n > 0 => Gone::OutOfTurn,
+            _ => Gone::Left,
         }
     }
 
@@ -205,15 +240,16 @@
 
     async fn nack(&mut self, after: Option<Micros>) {
         match after {
-            Some(us) => self.answer(&format!("BUSY {}\r\n", us.div_ceil(1000))).await,
-            None => self.answer("BUSY\r\n").await,
+            Some(us) => self.answer(&format!("BUSY {}", us.div_ceil(1000))).await,
+            None => self.answer("BUSY").await,
         }
     }
 
     async fn fail(&mut self, why: Failure) {
         match why {
-            Failure::GivenUp => self.answer("ERR not served\r\n").await,
-            Failure::Deadline => self.answer("ERR not served in time\r\n").await,
+            Failure::GivenUp => self.answer("ERR not served").await,
+            Failure::Deadline => self.answer("ERR not served in time").await,
+            Failure::OutOfTurn => self.answer("ERR out of turn").await,
         }
     }
 }
--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -3,6 +3,7 @@
 
 use super::buffer::{trimmed, LINE};
 use super::links::Link;
+use super::lobby::Lobby;
 use crate::api::Micros;
 use crate::broker::{Broker, Command, Ended, SILENT};
 use std::collections::VecDeque;
@@ -16,6 +17,8 @@
 const MOST: usize = 4 * LINE;
 /// How long an end waits for a side that does not take its last lines, or does not close.
 const LINGER: Micros = 1_000_000;
+/// So much is read of a client that has had its last line.
+const DRAINED: usize = 64 * LINE;
 /// A message that is out for so long is told of, each time again.
 const OUT: Micros = 1_000_000;
 /// Client lines whose answer is waited for at once.
@@ -136,22 +139,23 @@
 }
 
 /// Ends a connection the soft way: what was written arrives, then the end. A client that keeps writing is
-/// read for a while, since bytes unread at the close would reset the connection and lose the last line.
-pub async fn close(broker: &Rc<Broker>, link: &mut Link) {
+/// read for a while, since bytes unread at the close would reset the connection and might lose the last line.
+/// One that writes without end is left unread then: 60 MB must not cost what the others need.
+pub async fn close(lobby: &Rc<Lobby>, link: &mut Link) {
     let _ = socket2::SockRef::from(&link.stream).shutdown(std::net::Shutdown::Write);
     let drained = async {
-        loop {
+        let mut left = DRAINED;
+        while left > 0 {
             let n = link.buffer.data().len();
             link.buffer.consume(n);
-            if !matches!(link.buffer.filled(&link.stream, LINE).await, Ok(n) if n > 0) {
-                return;
+            match link.buffer.filled(&link.stream, LINE).await {
+                Ok(n) if n > 0 => left = left.saturating_sub(n),
+                _ => return,
             }
         }
+        std::future::pending().await
     };
-    tokio::select! {
-        () = drained => {}
-        () = broker.after(LINGER) => {}
-    }
+    lobby.linger(drained).await
 }
 
 /// Passes lines on until the connection ends; the caller closes the client's side.
--- a/src/net/xmpp/mod.rs
+++ b/src/net/xmpp/mod.rs
@@ -4,9 +4,10 @@
 pub mod relay;
 pub mod stream;
 
-use super::links;
+use super::lobby::{Lobby, Over, Seat, FIRST};
+use super::{links, CONNECTION};
 use crate::api::{Demand, Micros, Outcome};
-use crate::broker::{carry, Broker, Client, Command, Dialer, Ended, Execution, Failure};
+use crate::broker::{carry, Broker, Client, Command, Dialer, Ended, Execution, Failure, Gone};
 use crate::config::{Grouping, Service, Xmpp};
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine;
@@ -21,8 +22,6 @@
 use tokio_rustls::rustls::ServerConfig;
 use tokio_rustls::TlsAcceptor;
 
-/// Descriptors of a connection: its own and its link's.
-const DESCRIPTORS: usize = 2;
 /// How long a peer that was told of the end has for its own closing tag.
 const LINGER: u64 = 1_000_000;
 
@@ -92,44 +91,55 @@
 }
 
 /// Serves one connection from its first byte to its end.
-pub async fn serve(front: Rc<Front>, stream: TcpStream, from: SocketAddr) {
+pub async fn serve(front: Rc<Front>, lobby: Rc<Lobby>, stream: TcpStream, from: SocketAddr) {
     let broker = front.broker.clone();
+    let seat = lobby.seat();
+    let by = broker.now() + front.file.login_ms * 1000;
     let mut side = front.side(stream);
-    let Some(_guard) = broker.descriptors(DESCRIPTORS) else {
-        log::warn!("xmpp client {from}: refused, no descriptors are left");
-        let words = front.opening("", "") + &error("resource-constraint", "come again later");
-        return side.finish(&broker, &words, LINGER).await;
-    };
-    let (side, login) = {
-        let came = tokio::select! {
-            came = login(&front, &mut side) => came,
-            () = broker.after(front.file.login_ms * 1000) => Err(Parting::Error("connection-timeout", "log in sooner")),
+    let mut came = login(&front, &mut side, &seat, by).await;
+    if matches!(came, Ok(Step::Tls)) {
+        let Some(tls) = front.tls.clone() else { return };
+        let accepted = tokio::select! {
+            accepted = tls.accept(side.into_io()) => accepted,
+            _ = seat.over(by) => return,
         };
-        (side, came)
-    };
-    match login {
-        Ok(Step::Login(login)) => place(&front, side, login).await,
-        Ok(Step::Tls) => {
-            let Some(tls) = front.tls.clone() else { return };
-            let accepted = tokio::select! {
-                accepted = tls.accept(side.into_io()) => accepted,
-                () = broker.after(front.file.login_ms * 1000) => return,
-            };
-            let io = match accepted {
-                Ok(io) => io,
-                Err(e) => return log::warn!("xmpp client {from}: TLS failed: {e}"),
-            };
-            let mut side = Side::new(Box::new(io), front.bounds(), &broker);
-            let came = tokio::select! {
-                came = secure_login(&front, &mut side) => came,
-                () = broker.after(front.file.login_ms * 1000) => Err(Parting::Error("connection-timeout", "log in sooner")),
-            };
-            match came {
-                Ok(login) => place(&front, side, login).await,
-                Err(parting) => part(&front, &mut side, parting, from).await,
+        let io = match accepted {
+            Ok(io) => io,
+            Err(e) => return log::warn!("xmpp client {from}: TLS failed: {e}"),
+        };
+        side = Side::new(Box::new(io), front.bounds(), &broker);
+        came = secure_login(&front, &mut side, &seat, by).await.map(Step::Login);
+    }
+    drop(seat);
+    match came {
+        Ok(Step::Login(login)) => match broker.descriptors(CONNECTION) {
+            Some(_both) => place(&front, side, login).await,
+            None => {
+                let parting = Parting::Error("resource-constraint", "come again later");
+                part(&front, &lobby, &mut side, parting, from).await
             }
-        }
-        Err(parting) => part(&front, &mut { side }, parting, from).await,
+        },
+        Ok(Step::Tls) => {}
+        Err(parting) => part(&front, &lobby, &mut side, parting, from).await,
+    }
+}
+
+/// Ends with what came, or when the seat is over.
+async fn within<T, E>(
+    seat: &Seat,
+    at: Micros,
+    what: impl std::future::Future<Output = Result<T, E>>,
+) -> Result<T, Parting>
+where
+    Parting: From<E>,
+{
+    tokio::select! {
+        biased;
+        came = what => Ok(came?),
+        over = seat.over(at) => Err(match over {
+            Over::Late => Parting::Error("connection-timeout", "log in sooner"),
+            Over::Wanted => Parting::Error("resource-constraint", "come again later"),
+        }),
     }
 }
 
@@ -157,7 +167,7 @@
     Tls,
 }
 
-async fn part(front: &Front, side: &mut Side, parting: Parting, from: SocketAddr) {
+async fn part(front: &Front, lobby: &Rc<Lobby>, side: &mut Side, parting: Parting, from: SocketAddr) {
     let words = match parting {
         Parting::Gone => CLOSE.to_string(),
         Parting::Error(condition, text) => {
@@ -169,7 +179,7 @@
             format!("<failure xmlns='{SASL}'><{condition}/></failure>{CLOSE}")
         }
     };
-    side.finish(&front.broker, &words, LINGER).await;
+    lobby.linger(side.finish(&front.broker, &words, LINGER)).await;
 }
 
 /// Reads a header and answers it with our own, up to the service that it is for.
@@ -177,14 +187,15 @@
     front: &'a Front,
     side: &mut Side,
     secure: bool,
+    seat: &Seat,
 ) -> Result<(&'a Service, Vec<u8>), Parting> {
     // The peer's header may come with the first error: our own must stand before any error (RFC 6120, 4.9.1.2).
-    let (unit, header) = match side.reader.unit().await {
+    let (unit, header) = match within(seat, front.broker.now() + FIRST, side.reader.unit()).await {
         Ok(unit) => unit,
-        Err(Cut::Ended) => return Err(Parting::Gone),
-        Err(cut) => {
+        Err(Parting::Gone) => return Err(Parting::Gone),
+        Err(parting) => {
             side.writer.push(front.opening("", "").as_bytes());
-            return Err(cut.into());
+            return Err(parting);
         }
     };
     let Unit::Header(head) = unit else { return Err(Parting::Gone) };
@@ -225,10 +236,10 @@
     }
 }
 
-async fn login<'a>(front: &'a Front, side: &mut Side) -> Result<Step<'a>, Parting> {
+async fn login<'a>(front: &'a Front, side: &mut Side, seat: &Seat, by: Micros) -> Result<Step<'a>, Parting> {
     let secure = front.tls.is_none();
-    let (service, header) = open(front, side, secure).await?;
-    let (element, bytes) = next_stanza(side).await?;
+    let (service, header) = open(front, side, secure, seat).await?;
+    let (element, bytes) = within(seat, by, next_stanza(side)).await?;
     if !secure {
         if !element.is(TLS, "starttls") {
             return Err(Parting::Error("policy-violation", "STARTTLS is required"));
@@ -239,9 +250,14 @@
     Ok(Step::Login(auth(service, header, element, bytes)?))
 }
 
-async fn secure_login<'a>(front: &'a Front, side: &mut Side) -> Result<Login<'a>, Parting> {
-    let (service, header) = open(front, side, true).await?;
-    let (element, bytes) = next_stanza(side).await?;
+async fn secure_login<'a>(
+    front: &'a Front,
+    side: &mut Side,
+    seat: &Seat,
+    by: Micros,
+) -> Result<Login<'a>, Parting> {
+    let (service, header) = open(front, side, true, seat).await?;
+    let (element, bytes) = within(seat, by, next_stanza(side)).await?;
     auth(service, header, element, bytes)
 }
 
@@ -395,8 +411,9 @@
 impl Client for Desk {
     type Link = Answered;
 
-    async fn gone(&mut self) {
-        self.side.reader.gone().await
+    async fn gone(&mut self) -> Gone {
+        self.side.reader.gone().await;
+        Gone::Left
     }
 
     async fn stand(&mut self, link: Answered, command: &mut Command) -> Ended {
@@ -421,6 +438,7 @@
         let text = match why {
             Failure::GivenUp => "no server could take this log-in",
             Failure::Deadline => "no server took this log-in in time",
+            Failure::OutOfTurn => "spoke out of turn",
         };
         self.side.finish(&self.front.broker, &error("remote-connection-failed", text), LINGER).await;
     }
--- a/tests/lines.rs
+++ b/tests/lines.rs
@@ -73,19 +73,33 @@
     assert_eq!(heard.try_iter().count(), 2);
 }
 
+/// Guards against what cannot be read being served as if it had been, and against an error that is lost on its
+/// way because its connection is reset with bytes unread.
 #[test]
 fn bad_first_lines_fail_for_their_sender_alone() {
-    let (told, _heard) = channel();
+    let (told, heard) = channel();
     let list = [entry("s-00000001", echo("a", told), "ready")];
     let mut balancer = Balancer::start(&Discovery::quiet(), &list, None);
-    let long = format!("OPEN 1 2 c=watch,d=9,x={}\r\n", "x".repeat(5000));
+    let mut usual = balancer.client();
+    assert_eq!(usual.say("OPEN usual 2 c=watch,d=2000\r\n").hear(), "UP 1");
     for bad in [
         "HELLO\r\n",
         "OPEN 1 2 c=nobody,d=9\r\n",
         "OPEN 1 2 c=watch\r\n",
         "OPEN 1 2 d=5,,\r\n",
+        "OPEN  2 c=watch,d=9\r\n",
+        "OPEN 2 c=watch,d=9\r\n",
+        "OPEN 1 2 c=watch,d=-9\r\n",
+        "OPEN 1 2 c=watch,d=soon\r\n",
+        "OPEN 1 2 c=watch,d=1e300\r\n",
+        "OPEN 1 2 c=watch,d=99999999999\r\n",
+        "OPEN 1 2 c=watch,d=9,d=2000\r\n",
+        "OPEN 1 2 c=watch,d=2000,h=many\r\n",
+        "OPEN usual 2 c=watch,d=2000\r\n",
+        "OPEN 1 \u{0} c=watch,d=2000\r\n",
         "\u{1}\r\n",
-        &long,
+        &"OPEN 1 2 c=watch,d=2000\r\n".repeat(300),
+        &format!("OPEN 1 2 c=watch,d=9,x={}\r\n", "x".repeat(5000)),
     ] {
         let mut client = balancer.client();
         let answer = client.say(bad).hear();
@@ -94,8 +108,116 @@
         balancer.logged("WARN");
     }
     balancer.client().say("OPEN 1 2 c=wa");
-    balancer.logged("left within its first line");
+    balancer.logged("half a line");
     assert_eq!(balancer.client().say("OPEN 5 2 c=watch,d=2000\r\n").hear(), "UP 1");
+    assert_eq!(usual.say("still mine\r\n").hear(), "still mine");
+    let came: Vec<String> = heard.try_iter().map(|(_, first)| first).collect();
+    assert!(came.len() == 2 && came[1].starts_with("OPEN 5 "), "{came:?}");
+    assert!(balancer.runs());
+}
+
+/// Guards against what a client says out of turn reaching an instance, and its place there being kept.
+#[test]
+fn a_client_that_does_not_wait_for_its_answer_loses_its_claim_to_one() {
+    let (told, heard) = channel();
+    let slow = instance(move |mut peer| {
+        let first = peer.hear();
+        let _ = told.send(first);
+        let _ = told.send(peer.hear());
+    });
+    let list = [entry("s-00000001", slow, "ready")];
+    let balancer = Balancer::start(&Discovery::quiet(), &list, None);
+    let mut client = balancer.client();
+    client.say("OPEN 1 2 c=watch,d=2000\r\n");
+    assert!(heard.recv().unwrap().starts_with("OPEN 1 2"));
+    assert_eq!(client.say("OPEN 2 2 c=watch,d=2000\r\n").hear(), "ERR out of turn");
+    assert_eq!(heard.recv().unwrap(), "END");
+}
+
+/// Guards against memory and time spent on a line without end.
+#[test]
+fn a_client_that_sends_without_end_is_told_and_cut_off() {
+    let (told, _heard) = channel();
+    let list = [entry("s-00000001", echo("a", told), "ready")];
+    let balancer = Balancer::start(&Discovery::quiet(), &list, None);
+    let mut client = balancer.client();
+    let since = Instant::now();
+    let block = vec![b'x'; 1 << 20];
+    let sent = (0..60).take_while(|_| client.stream.write_all(&block).is_ok()).count();
+    assert!(sent < 60, "all of it was taken");
+    assert_eq!(client.hear(), "ERR a line of over 4 KiB");
+    assert!(since.elapsed() < Duration::from_secs(3));
+}
+
+/// Guards against connections that say nothing, or drip, holding descriptors for as long as they like.
+#[test]
+fn hundreds_that_say_nothing_are_ended_soon_and_take_nothing_from_those_who_ask() {
+    let (told, _heard) = channel();
+    let list = [entry("s-00000001", echo("a", told), "ready")];
+    let balancer = Balancer::start(&Discovery::quiet(), &list, None);
+    let since = Instant::now();
+    let mut drip = balancer.client();
+    let mut silent: Vec<Lines> = (0..DESCRIPTORS).map(|_| balancer.client()).collect();
+    for i in 0..20 {
+        assert_eq!(balancer.client().say(&format!("OPEN {i} 2 c=watch,d=2000\r\n")).hear(), "UP 1");
+    }
+    // The first were called away to make room, the last have their time.
+    assert_eq!(silent[0].hear(), "BUSY");
+    assert_eq!(drip.hear(), "BUSY");
+    let mut drip = balancer.client();
+    while drip.stream.write_all(b"O").is_ok() && since.elapsed() < Duration::from_secs(20) {
+        std::thread::sleep(Duration::from_millis(50));
+    }
+    assert_eq!(silent.pop().unwrap().hear(), "END");
+    assert!(since.elapsed() < Duration::from_secs(6), "{:?}", since.elapsed());
+    let mut check = balancer.client();
+    assert_eq!(check.say("PING\r\n").hear(), "PONG");
+    assert_eq!(check.say("PING\r\n").hear(), "PONG");
+}
+
+/// Guards against SIGHUP ending the process, a bad file taking effect, and a gap or an end of what is known
+/// when discovery moves.
+#[test]
+fn a_new_configuration_moves_the_watch_and_touches_nothing_that_stands() {
+    let (told, heard) = channel();
+    let (a, b) = (echo("a", told.clone()), echo("b", told));
+    let whole = listing(1, &[entry("s-00000002", b, "ready")]);
+    let list = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{whole}", whole.len());
+    let busy = "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n".to_string();
+    let old = Discovery::quiet();
+    let new = Discovery::new(vec![busy, list, OK.to_string() + &chunk("\n")]);
+    let mut balancer = Balancer::start(&old, &[entry("s-00000001", a, "ready")], None);
+    assert!(old.called().ends_with("from=1 HTTP/1.1"));
+    let mut stands = balancer.client();
+    assert_eq!(stands.say("OPEN 1 2 c=watch,d=2000\r\n").hear(), "UP 1");
+    balancer.reload(|text| text.replace("\"discovery\"", "\"no discovery\""));
+    balancer.logged("configuration not taken over");
+    let there = new.address.to_string();
+    balancer.reload(|text| {
+        let text = text.replace("\"no discovery\"", "\"discovery\"").replace("\"n0\"", "\"n9\"");
+        text.replace(&old.address.to_string(), &there)
+    });
+    balancer.logged(&format!("discovery is at {there}; ignored until the next start: name"));
+    // What the old one knew does not count there: its versions are others. It is heard until the new one has
+    // told the whole list.
+    assert_eq!(new.called(), "GET /catalog/members HTTP/1.1");
+    old.push(&listing(2, &[entry("s-00000003", b, "draining")]));
+    balancer.logged("s-00000003");
+    assert_eq!(new.called(), "GET /catalog/members HTTP/1.1");
+    balancer.logged("s-00000001 is no longer listed");
+    assert_eq!(new.called(), "GET /catalog/members?watch=1&from=1 HTTP/1.1");
+    balancer.reload(|text| text);
+    balancer.signal("-HUP");
+    balancer.logged("configuration read again");
+    for i in 2..8 {
+        assert_eq!(balancer.client().say(&format!("OPEN {i} {i} c=watch,d=2000\r\n")).hear(), "UP 1");
+    }
+    assert!(heard.try_iter().skip(1).all(|(name, _)| name == "b"), "the new list is the whole one");
+    assert_eq!(stands.say("here\r\n").hear(), "here");
+    assert!(new.calls.try_recv().is_err(), "the same address is not watched anew");
+    balancer.terminate();
+    balancer.signal("-HUP");
+    assert_eq!(stands.hear(), "MOVE");
     assert!(balancer.runs());
 }
 
@@ -131,7 +253,7 @@
     let list = [entry("s-00000001", a, "ready"), entry("s-00000002", b, "ready")];
     let balancer = Balancer::start(&Discovery::quiet(), &list, None);
     for i in 0..6 {
-        let open = format!("OPEN {i} {i} c=watch,d=40000,g={i},at=s-00000002\r\n");
+        let open = format!("OPEN {i} {i} c=watch,d=4294967,g={i},at=s-00000002\r\n");
         assert_eq!(balancer.client().say(&open).hear(), "UP 1");
         assert_eq!(heard.recv().unwrap().0, "b");
     }
@@ -161,13 +283,25 @@
     let (told, _heard) = channel();
     let list = [entry("s-00000001", echo("a", told), "ready")];
     let balancer = Balancer::start(&Discovery::quiet(), &list, None);
-    let idle: Vec<Lines> = (0..(DESCRIPTORS - 48) / 2).map(|_| balancer.client()).collect();
-    balancer.client().say("OPEN 1 2 c=watch,d=2000\r\n").until("BUSY\r\n");
-    balancer.logged("no descriptors are left");
-    drop(idle);
+    let open = |i| {
+        let mut client = balancer.client();
+        let answer = client.say(&format!("OPEN x{i} 2 c=watch,d=2000\r\n")).hear();
+        (client, answer)
+    };
+    let mut stand = Vec::new();
+    for i in 0.. {
+        match open(i) {
+            (client, answer) if answer == "UP 1" => stand.push(client),
+            (_, answer) => {
+                assert_eq!(answer, "BUSY");
+                break;
+            }
+        }
+    }
+    assert!((DESCRIPTORS / 3..DESCRIPTORS / 2).contains(&stand.len()), "{}", stand.len());
+    stand.clear();
     // It notices the ends in its own time.
-    let open = |i| balancer.client().say(&format!("OPEN x{i} 2 c=watch,d=2000\r\n")).hear();
-    assert!((0..1000).map(open).any(|answer| answer == "UP 1"));
+    assert!((1000..2000).map(open).any(|(_, answer)| answer == "UP 1"));
 }
 
 /// Guards against one service's clients taking what another's contract has room for.
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -259,10 +259,22 @@
     }
 
     pub fn terminate(&self) {
-        let kill = Command::new("kill").args(["-TERM", &self.child.id().to_string()]).status();
+        self.signal("-TERM");
+    }
+
+    pub fn signal(&self, name: &str) {
+        let kill = Command::new("kill").args([name, &self.child.id().to_string()]).status();
         assert!(kill.unwrap().success());
     }
 
+    /// Puts another text for its configuration and has it read.
+    pub fn reload(&self, change: impl FnOnce(String) -> String) {
+        let path = self.dir.join("config.json");
+        let text = std::fs::read_to_string(&path).unwrap();
+        std::fs::write(path, change(text)).unwrap();
+        self.signal("-HUP");
+    }
+
     /// Whether it runs still.
     pub fn runs(&mut self) -> bool {
         self.child.try_wait().unwrap().is_none()
