Read message times out of LOAD lines and tell the module of them as delays

Checked: loads told, per instance and both balancers together, were a third to two thirds of the registered sizes, so nothing looked overloaded. Guessed and dropped: forgiving hosts for requests that several of them send back.

--- a/src/broker/instances.rs
+++ b/src/broker/instances.rs
@@ -49,8 +49,60 @@
     pub address: SocketAddr,
     /// Its state as last told.
     pub state: HostState,
-    /// When messages there were last told to be slow; none when they are not.
+    /// When messages there were last told to be out; none when they are not.
     pub slow: Option<Micros>,
+    /// How it tells of slow messages.
+    pub pulse: Pulse,
+}
+
+/// Tells apart the two figures that come as `LOAD X`: the load of the connection, in microseconds of work a
+/// second, and the time that a message takes at the instance, in milliseconds. Nothing in the line does. But the
+/// second comes at whole seconds after the one before, whatever its connection, for as long as the instance runs
+/// (seen within 2 ms over whole days), and is told only while messages are slow.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct Pulse {
+    /// The last figure that came on the beat, and when.
+    beat: Option<(Micros, f64)>,
+    /// One that may have begun another beat.
+    other: Option<Micros>,
+}
+
+/// So far from a whole second a figure may come and be on the beat: we may be late ourselves.
+const NEAR: Micros = 60_000;
+/// A connection that asks for less work, in microseconds a second, is next to idle: most likely it is a time.
+const FEW: f64 = 2_000.0;
+/// The longest time, in milliseconds, that is told while an instance works: it drops what has to wait longer.
+const LONG: f64 = 5_000.0;
+
+impl Pulse {
+    /// The time that a message takes, if that is what this figure means.
+    pub fn delay(&mut self, now: Micros, figure: f64) -> Option<Micros> {
+        let on = |at: Micros| {
+            let (span, off) = (now.saturating_sub(at), now.saturating_sub(at) % 1_000_000);
+            span > NEAR && off.min(1_000_000 - off) <= NEAR
+        };
+        let beat = match (self.beat, self.other) {
+            (Some((at, _)), _) if on(at) => self.beat,
+            (_, Some(at)) if on(at) && figure < FEW => Some((at, figure)),
+            // Where nothing speaks for another beat there is no time to lose.
+            (None, None) if figure < FEW => None,
+            _ => {
+                if figure < FEW {
+                    self.other = Some(now);
+                }
+                return None;
+            }
+        };
+        // One that has stopped working has it grow by a second each second.
+        let grows = beat.is_some_and(|(_, last)| (figure - last - 1000.0).abs() < 100.0);
+        if figure < LONG || grows {
+            (self.beat, self.other) = (Some((now, figure)), None);
+            return Some((figure * 1000.0) as Micros);
+        }
+        // Else it is a load that came then by chance, or the first after it stopped.
+        self.beat = beat.map(|(at, _)| (at, figure));
+        None
+    }
 }
 
 /// All instances.
@@ -105,12 +157,12 @@
             if known.is_none_or(|known| known.state != state) {
                 log::info!("discovery: instance {} at {address} is {}", e.name, e.status);
             }
-            let slow = known.and_then(|known| known.slow);
+            let (slow, pulse) = known.map_or_else(Default::default, |known| (known.slow, known.pulse));
             let zone = e.zone.as_deref().and_then(|zone| names.zone(zone));
             let ready_at = (e.since_ms.unwrap_or(0.0).max(0.0) * 1000.0) as Micros;
             let (cell, weight) = (e.group.unwrap_or(0), e.weight.unwrap_or(1.0));
             entries.push(Entry { host: id, state, ready_at, zone, cell, weight });
-            self.by_id.insert(id, Instance { name: e.name.into(), address, state, slow });
+            self.by_id.insert(id, Instance { name: e.name.into(), address, state, slow, pulse });
         }
         if kind != ListKind::Changes {
             // What a whole list leaves out is gone.
@@ -139,3 +191,31 @@
         self.get(id).is_some_and(|i| i.state == HostState::Ready)
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+
+    /// Guards against times taken for loads (an overloaded instance then looks idle) and loads for times.
+    #[test]
+    fn times_come_on_the_beat_and_loads_when_they_like() {
+        let mut pulse = Pulse::default();
+        let mut read = |ms: u64, figure: f64| pulse.delay(77_000_000 + ms * 1000, figure).map(|us| us / 1000);
+        assert_eq!(read(100, 70_576.8), None);
+        // The first is believed at once; then only what comes a whole second later or several.
+        assert_eq!(read(873, 845.9), Some(845));
+        assert_eq!(read(1_240, 1_420.0), None, "a connection that is next to idle");
+        assert_eq!(read(1_874, 2_682.0), Some(2_682));
+        assert_eq!(read(1_900, 31_827.8), None);
+        assert_eq!(read(4_874, 38.4), Some(38));
+        assert_eq!(read(5_875, 31_827.8), None, "a load that comes on the beat by chance");
+        // It stopped working: its time grows with the clock.
+        assert_eq!(read(6_873, 60_802.4), None);
+        assert_eq!(read(7_873, 61_802.4), Some(61_802));
+        assert_eq!(read(8_873, 62_802.4), Some(62_802));
+        // It started anew, and has another beat.
+        assert_eq!(read(20_100, 66.1), None);
+        assert_eq!(read(21_101, 72.3), Some(72));
+        assert_eq!(read(22_100, 80.0), Some(80));
+    }
+}
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -220,8 +220,9 @@
     clock: Clock,
     deadlines: Rc<Deadlines>,
     names: Names,
-    /// The shortest time that a message may take, and the longest that a client waits.
-    message_aim: Micros,
+    /// Whether instances tell how long messages take there.
+    delays_told: bool,
+    /// The longest that a client waits.
     longest: Micros,
     class_deadlines: Vec<Micros>,
     /// The services' contracts, as the module has them.
@@ -241,9 +242,8 @@
         descriptors: usize,
     ) -> Result<(Rc<Broker>, UnboundedReceiver<Order>), SettingsError> {
         let (orders, ordered) = unbounded_channel();
-        let aims = settings.classes.iter().map(|c| c.message_aim).filter(|&aim| aim > 0);
         let broker = Broker {
-            message_aim: aims.min().unwrap_or(Micros::MAX),
+            delays_told: settings.delays_told,
             longest: settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0),
             contracts: settings.tenants.clone(),
             class_deadlines: settings.classes.iter().map(|c| c.deadline).collect(),
@@ -306,11 +306,6 @@
         self.longest
     }
 
-    /// The shortest time that a message on an open connection may take.
-    pub fn message_aim(&self) -> Micros {
-        self.message_aim
-    }
-
     /// Takes descriptors out of the budget until the guard is dropped; none where too few are left.
     pub fn descriptors(self: &Rc<Self>, n: usize) -> Option<Descriptors> {
         self.descriptors.set(self.descriptors.get().checked_sub(n)?);
@@ -394,6 +389,7 @@
             late: false,
             out: None,
             executions: 0,
+            loaded: false,
             stands: false,
             over: false,
         }
@@ -478,6 +474,8 @@
     /// The execution that is out, and since when.
     out: Option<(HostId, Micros)>,
     executions: u32,
+    /// Its load has been told.
+    loaded: bool,
     stands: bool,
     over: bool,
 }
@@ -589,24 +587,37 @@
         }
     }
 
-    /// The connection's load, as its instance tells it.
-    pub fn load(&self, load: f64) {
-        self.broker.tell(Event::LoadNote { call: self.id.clone(), load });
+    /// A figure that its instance tells on the connection: the load of this one, or, where the settings say so
+    /// and it looks like one, how long messages take there. A load is told once when the connection opens.
+    pub fn told(&mut self, figure: f64) {
+        let Some((host, since)) = self.out else { return };
+        let now = self.broker.now();
+        let opening = !std::mem::replace(&mut self.loaded, true) && now < since.saturating_add(SLOW_EVERY);
+        if self.broker.delays_told && !opening {
+            let mut state = self.broker.state.borrow_mut();
+            let delay = state.instances.get_mut(host).and_then(|i| i.pulse.delay(now, figure));
+            drop(state);
+            if let Some(delay) = delay {
+                return self.broker.tell(Event::DelayNote { host, delay });
+            }
+        }
+        self.broker.tell(Event::LoadNote { call: self.id.clone(), load: figure });
     }
 
-    /// A message took so long at the instance, or has been out for so long. The module hears of it once a
-    /// second and instance while messages are slow, and once when they no longer are.
+    /// A message has been out for so long, or came back after that. The module hears of it once a second and
+    /// instance while any is out, and once when none is. What comes back sooner says nothing: an instance
+    /// returns it at once however much work is piled up there, and what we see of it are delays of our own.
     pub fn message_took(&self, delay: Micros) {
         let Some((host, _)) = self.out else { return };
         let now = self.broker.now();
-        let slow = delay > self.broker.message_aim / 3;
+        let out = delay >= SLOW_EVERY;
         {
             let mut state = self.broker.state.borrow_mut();
             let Some(instance) = state.instances.get_mut(host) else { return };
             match instance.slow {
-                None if !slow => return,
-                Some(told) if slow && now < told.saturating_add(SLOW_EVERY) => return,
-                _ => instance.slow = slow.then_some(now),
+                None if !out => return,
+                Some(told) if out && now < told.saturating_add(SLOW_EVERY) => return,
+                _ => instance.slow = out.then_some(now),
             }
         }
         self.broker.tell(Event::DelayNote { host, delay });
--- a/src/main.rs
+++ b/src/main.rs
@@ -38,10 +38,7 @@
     let mut services = config::services(&services)?;
     services.extend(xmpp.iter().flat_map(|file| file.contracts(&services)).collect::<Vec<_>>());
     config.add_services(services);
-    let (mut settings, names) = config.settings.translate().map_err(|e| e.to_string())?;
-    // No line of the platform's protocol tells it, whatever the settings say of the simulator's notes: an
-    // instance sends a message back at once, however much work is piled up there.
-    settings.delays_told = false;
+    let (settings, names) = config.settings.translate().map_err(|e| e.to_string())?;
     let seed = config.seed();
     let descriptors = config.limits.sockets.saturating_sub(RESERVED);
     let seats = descriptors / LOBBY;
--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -101,7 +101,7 @@
 }
 
 impl Watched {
-    fn line(&mut self, line: &[u8], now: Micros, command: &Command) {
+    fn line(&mut self, line: &[u8], now: Micros, command: &mut Command) {
         let mut words = line.split(|&b| b == b' ');
         match words.next().unwrap_or_default() {
             b"UP" => {}
@@ -109,7 +109,7 @@
                 let load =
                     words.next().and_then(|x| std::str::from_utf8(x).ok()).and_then(|x| x.parse().ok());
                 if let Some(load) = load {
-                    command.load(load);
+                    command.told(load);
                 }
             }
             b"BYE" => self.last = Some(Ended::Served),
--- a/tests/lines.rs
+++ b/tests/lines.rs
@@ -4,6 +4,7 @@
 use peers::*;
 use std::io::Write;
 use std::sync::mpsc::channel;
+use std::sync::{Arc, OnceLock};
 use std::time::{Duration, Instant};
 
 #[test]
@@ -368,6 +369,41 @@
     assert!(since.elapsed() < Duration::from_secs(7));
 }
 
+/// Guards against an instance whose messages are late being taken for one with little load: it tells both in
+/// the same words.
+#[test]
+fn an_instance_that_tells_of_slow_messages_loses_connections() {
+    let (told, heard) = channel();
+    let slow: Arc<OnceLock<&str>> = Arc::default();
+    let script = |name: &'static str| {
+        let (told, slow) = (told.clone(), slow.clone());
+        instance(move |mut peer| {
+            let first = peer.hear();
+            peer.say("UP 1\r\nLOAD 40000.000\r\n");
+            let is_slow = *slow.get_or_init(|| name) == name;
+            if is_slow && first.starts_with("OPEN 0 ") {
+                // Once a second, on one connection.
+                while peer.stream.write_all(b"LOAD 900.000\r\n").is_ok() {
+                    std::thread::sleep(Duration::from_secs(1));
+                }
+            }
+            peer.hear();
+            let _ = told.send(name);
+        })
+    };
+    let list = [entry("s-00000001", script("a"), "ready"), entry("s-00000002", script("b"), "ready")];
+    let aims = "\"FamilyInfo\":{\"MessageAimMs\":[150.0],\"TellsDelay\":true},\"Classes\"";
+    let settings = SETTINGS.replace("\"Classes\"", aims);
+    let balancer = Balancer::with(&Discovery::quiet(), &list, None, &settings, None);
+    let stand = |i| {
+        let mut client = balancer.client();
+        assert_eq!(client.say(&format!("OPEN {i} {i} c=watch,d=2000,g=7\r\n")).hear(), "UP 1");
+        client
+    };
+    let _clients: Vec<Lines> = (0..8).map(stand).collect();
+    assert_eq!(heard.recv_timeout(Duration::from_secs(10)).unwrap(), *slow.get().unwrap());
+}
+
 /// Guards against memory that grows with a client that does not read.
 #[test]
 fn a_client_that_does_not_read_holds_its_instance_back_and_loses_nothing() {
