End stopped connections in time, alone where the instance works; stopped hosts keep nothing

Hung instances kept most of their connections for many seconds. Causes: relay.rs waited 6 s from the first message without an answer, but the connection may have stopped up to 2 s before that message, and the rule counts 7 s from there. The module kept four fifths a second on a host whose message time was a minute. Now 4.5 s, and 3 s where the instance was heard on another connection meanwhile, which also keeps the module out of it; over 10 s of message time a host keeps nothing; the first figure of a pulse is believed at once only under 500 (seen: a load of 1380 moved two clients); only the first host that sends a request back is held to fail (a bad client's request had ejected up to four), which needs no further line.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -52,6 +52,8 @@
 /// registered size (in standard cores, of which loads are counted), and a node its even part of that. What is
 /// past the second figure times it is moved off. Hurts where sizes are no cores: too large ones do nothing.
 const PLANNED: (f64, f64) = (0.8, 1.1);
+/// Messages later than this are answered by nobody: the host has stopped, and keeps nothing.
+const DEAD: Micros = 10_000_000;
 /// A ceiling is never lower than this part of a mean connection: some try again, and tell how the host is.
 const LEAST: f64 = 0.1;
 /// A ceiling grows with the square of the time since it was learned, and after this long it is e times as
@@ -321,9 +323,11 @@
             }
             Event::DelayNote { host, delay } => self.delay_told(now, host, delay, out),
             Event::Finished { call, outcome, ended, host, .. } => {
-                let begun = self.calls.get(&call).is_some_and(|c| c.begun);
+                // A second host that sends it back is not blamed: the request may be one that nobody can use.
+                let again = |c: &Call| outcome == Outcome::Error && c.maybe_ran.is_some();
+                let excused = self.calls.get(&call).is_some_and(|c| c.begun || again(c));
                 self.detach(&call);
-                if !begun && !matches!(outcome, Outcome::Ok | Outcome::Cancelled | Outcome::Moot) {
+                if !excused && !matches!(outcome, Outcome::Ok | Outcome::Cancelled | Outcome::Moot) {
                     self.failed(now, host);
                 }
                 let Some(c) = self.calls.get_mut(&call) else { return };
@@ -763,7 +767,8 @@
         let aim = self.shortest_aim();
         self.trouble = Some(now);
         let late = (2.0 * aim as f64 / delay as f64).min(1.0);
-        self.overloaded(now, id, CUT * late.powf(self.sparse()));
+        let keep = if delay > DEAD { 0.0 } else { CUT * late.powf(self.sparse()) };
+        self.overloaded(now, id, keep);
         self.shed(now, id, out);
     }
 
@@ -839,10 +844,8 @@
     }
 
     fn size_of(&self, host: &Host) -> f64 {
-        match self.settings.weighted && host.entry.weight.is_finite() && host.entry.weight > 0.0 {
-            true => host.entry.weight,
-            false => 1.0,
-        }
+        let told = |weight: &f64| self.settings.weighted && weight.is_finite() && *weight > 0.0;
+        Some(host.entry.weight).filter(told).unwrap_or(1.0)
     }
 
     /// What a group costs a host as this node's part of it.
@@ -1010,12 +1013,9 @@
     /// The final answer when nothing more is tried: a refusal where that is honest, else a failure.
     fn give_up(&mut self, id: CallId, out: &mut Vec<Action>) {
         let Some(c) = self.calls.remove(&id) else { return };
-        let honest = c.maybe_ran.is_none()
-            || self.settings.classes.get(c.class).is_some_and(|class| match class.effect {
-                Effect::Free => true,
-                Effect::Guarded => class.guard == GuardGroup::All,
-                Effect::SingleShot => false,
-            });
+        let class = self.settings.classes.get(c.class).map(|class| (class.effect, class.guard));
+        let repeatable = matches!(class, Some((Effect::Free, _) | (Effect::Guarded, GuardGroup::All)));
+        let honest = c.maybe_ran.is_none() || repeatable;
         // Spread by chance over all that is allowed (full jitter): those turned away now do not come at once.
         let (most, chance) = (self.settings.limits.retry_after, self.chance());
         let retry_after = most.map(|most| (most as f64 * chance) as Micros);
--- a/src/broker/instances.rs
+++ b/src/broker/instances.rs
@@ -51,6 +51,8 @@
     pub state: HostState,
     /// When messages there were last told to be out; none when they are not.
     pub slow: Option<Micros>,
+    /// When it last brought a message back, on any connection.
+    pub heard: Micros,
     /// How it tells of slow messages.
     pub pulse: Pulse,
 }
@@ -71,6 +73,9 @@
 const NEAR: Micros = 60_000;
 /// A connection that asks for less work, in microseconds a second, is next to idle: most likely it is a time.
 const FEW: f64 = 2_000.0;
+/// Below this, the first such figure of an instance is believed without another on its beat: overload at the start
+/// must not wait, and hardly any load is so low.
+const IDLE: f64 = 500.0;
 /// The longest time, in milliseconds, that is told while an instance works: it drops what has to wait longer.
 const LONG: f64 = 5_000.0;
 
@@ -84,8 +89,7 @@
         let beat = match (self.beat, self.other) {
             (Some((at, _)), _) if on(at) => self.beat,
             (_, Some(at)) if on(at) && figure < FEW => Some((at, figure)),
-            // Where nothing speaks for another beat there is no time to lose.
-            (None, None) if figure < FEW => None,
+            (None, None) if figure < IDLE => None,
             _ => {
                 if figure < FEW {
                     self.other = Some(now);
@@ -157,12 +161,12 @@
             if known.is_none_or(|known| known.state != state) {
                 log::info!("discovery: instance {} at {address} is {}", e.name, e.status);
             }
-            let (slow, pulse) = known.map_or_else(Default::default, |known| (known.slow, known.pulse));
+            let (slow, heard, pulse) = known.map(|k| (k.slow, k.heard, k.pulse)).unwrap_or_default();
             let zone = e.zone.as_deref().and_then(|zone| names.zone(zone));
             let ready_at = (e.since_ms.unwrap_or(0.0).max(0.0) * 1000.0) as Micros;
             let (cell, weight) = (e.group.unwrap_or(0), e.weight.unwrap_or(1.0));
             entries.push(Entry { host: id, state, ready_at, zone, cell, weight });
-            self.by_id.insert(id, Instance { name: e.name.into(), address, state, slow, pulse });
+            self.by_id.insert(id, Instance { name: e.name.into(), address, state, slow, heard, pulse });
         }
         if kind != ListKind::Changes {
             // What a whole list leaves out is gone.
@@ -202,11 +206,13 @@
         let mut pulse = Pulse::default();
         let mut read = |ms: u64, figure: f64| pulse.delay(77_000_000 + ms * 1000, figure).map(|us| us / 1000);
         assert_eq!(read(100, 70_576.8), None);
-        // The first is believed at once; then only what comes a whole second later or several.
-        assert_eq!(read(873, 845.9), Some(845));
-        assert_eq!(read(1_240, 1_420.0), None, "a connection that is next to idle");
-        assert_eq!(read(1_874, 2_682.0), Some(2_682));
-        assert_eq!(read(1_900, 31_827.8), None);
+        // The first is believed at once if it is low; then only what comes a whole second later or several.
+        assert_eq!(read(500, 1_380.4), None);
+        assert_eq!(read(873, 345.9), None);
+        assert_eq!(read(1_873, 845.9), Some(845));
+        assert_eq!(read(2_240, 1_420.0), None, "a connection that is next to idle");
+        assert_eq!(read(2_874, 2_682.0), Some(2_682));
+        assert_eq!(read(2_900, 31_827.8), None);
         assert_eq!(read(4_874, 38.4), Some(38));
         assert_eq!(read(5_875, 31_827.8), None, "a load that comes on the beat by chance");
         // It stopped working: its time grows with the clock.
@@ -217,5 +223,6 @@
         assert_eq!(read(20_100, 66.1), None);
         assert_eq!(read(21_101, 72.3), Some(72));
         assert_eq!(read(22_100, 80.0), Some(80));
+        assert_eq!(Pulse::default().delay(0, 345.9), Some(345_900));
     }
 }
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -22,8 +22,11 @@
 const ANSWER_AHEAD: Micros = 15_000;
 /// News of slow messages comes once a second and instance, as the module's event means it.
 const SLOW_EVERY: Micros = 1_000_000;
-/// A connection on which an instance brings nothing back is ended after this long.
-pub const SILENT: Micros = 6_000_000;
+/// A connection on which an instance brings nothing back for a message is ended after this long: it may have
+/// stopped up to two seconds before the message, and is owed its end within seven.
+pub const SILENT: Micros = 4_500_000;
+/// And sooner where the instance works, for others heard of it meanwhile: then this connection alone has stopped.
+const ALONE: Micros = 3_000_000;
 
 /// What the core asks of the network beside executions.
 #[derive(Debug)]
@@ -604,23 +607,41 @@
         self.broker.tell(Event::LoadNote { call: self.id.clone(), load: figure });
     }
 
-    /// A message has been out for so long, or came back after that. The module hears of it once a second and
-    /// instance while any is out, and once when none is. What comes back sooner says nothing: an instance
-    /// returns it at once however much work is piled up there, and what we see of it are delays of our own.
-    pub fn message_took(&self, delay: Micros) {
-        let Some((host, _)) = self.out else { return };
+    /// A message has been out for so long; whether its connection is to be ended for it. Unless others hear of
+    /// the instance meanwhile, the module is told, once a second and instance.
+    pub fn silent(&self, span: Micros) -> bool {
+        let Some((host, _)) = self.out else { return true };
         let now = self.broker.now();
-        let out = delay >= SLOW_EVERY;
+        {
+            let mut state = self.broker.state.borrow_mut();
+            let Some(instance) = state.instances.get_mut(host) else { return span >= SILENT };
+            if instance.heard > now.saturating_sub(span) {
+                // It works: what is wrong is with this connection, and no reason to leave the instance.
+                return span >= ALONE;
+            }
+            if span < SLOW_EVERY || instance.slow.is_some_and(|told| now < told.saturating_add(SLOW_EVERY)) {
+                return span >= SILENT;
+            }
+            instance.slow = Some(now);
+        }
+        self.broker.tell(Event::DelayNote { host, delay: span });
+        span >= SILENT
+    }
+
+    /// A message came back after so long. The module hears of it where it has heard of silence. How long it
+    /// took says nothing else: an instance returns it at once however much work is piled up there, and what we
+    /// see are delays of our own.
+    pub fn heard(&self, span: Micros) {
+        let Some((host, _)) = self.out else { return };
         {
             let mut state = self.broker.state.borrow_mut();
             let Some(instance) = state.instances.get_mut(host) else { return };
-            match instance.slow {
-                None if !out => return,
-                Some(told) if out && now < told.saturating_add(SLOW_EVERY) => return,
-                _ => instance.slow = out.then_some(now),
+            instance.heard = self.broker.now();
+            if instance.slow.take().is_none() {
+                return;
             }
         }
-        self.broker.tell(Event::DelayNote { host, delay });
+        self.broker.tell(Event::DelayNote { host, delay: span });
     }
 }
 
--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -116,7 +116,7 @@
             b"MOVE" => self.last = Some(Ended::Left),
             _ => {
                 if let Some(since) = self.asked.pop_front() {
-                    command.message_took(now.saturating_sub(since));
+                    command.heard(now.saturating_sub(since));
                 }
             }
         }
@@ -196,11 +196,11 @@
             () = wait => {
                 looked = broker.now();
                 match oldest {
-                    Some(since) if looked >= since + SILENT => {
+                    Some(since) if command.silent(looked - since) => {
                         log::info!("a connection brought nothing back for {} ms: moved", (looked - since) / 1000);
                         return farewell(&broker, client, &mut down, &mut instance).await;
                     }
-                    Some(since) => command.message_took(looked - since),
+                    Some(_) => {}
                     None => return Ended::Left,
                 }
                 continue;
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -188,3 +188,33 @@
     }
     assert_eq!(waits, vec![300 * MS, 300 * MS, 300 * MS, 2 * S - MS]);
 }
+
+/// Guards against requests that no server can use (a bad client's, under an id that is open elsewhere): each
+/// passed over every host that it was tried at, and the usual clients lost their homes.
+#[test]
+fn a_request_that_several_hosts_send_back_is_held_against_the_first_alone() {
+    let mut node = Node::new(settings(), 1..=6);
+    let mut tried = vec![sent(&node.demand(S, "bad", 0, Some("g"))).expect("a first try")];
+    while tried.len() < 4 {
+        let out = node.finished(S, "bad", tried[tried.len() - 1], Outcome::Error);
+        tried.push(sent(&out).expect("a further try"));
+    }
+    assert!(refused(&node.finished(S, "bad", tried[3], Outcome::Error)));
+    assert_eq!(node.stand(S, "usual", Some("g")), tried[1], "the next clockwise");
+}
+
+/// Guards against a host that has stopped keeping four fifths of its connections, and then of the rest.
+#[test]
+fn a_host_that_has_stopped_keeps_nothing() {
+    let mut node = Node::new(settings(), 1..=6);
+    for i in 0..24 {
+        node.stand(0, &format!("a{i}"), Some(&format!("g{i}")));
+    }
+    let home = node.stand(0, "one", Some("g0"));
+    let slow = node.tell(S, Event::DelayNote { host: home, delay: 61 * S });
+    let moved = slow.iter().filter(|a| matches!(a, Action::Move { .. })).count();
+    assert!(
+        moved >= 2 && node.tell(3 * S, Event::DelayNote { host: home, delay: 63 * S }).is_empty(),
+        "{slow:?}"
+    );
+}
--- a/tests/lines.rs
+++ b/tests/lines.rs
@@ -366,7 +366,47 @@
     assert!(matches!(breaks.hear().as_str(), "END" | "RESET"));
     assert!(since.elapsed() < Duration::from_secs(1));
     assert_eq!(silent.hear(), "MOVE");
-    assert!(since.elapsed() < Duration::from_secs(7));
+    // It may have stopped two seconds before the client spoke.
+    assert!(since.elapsed() < Duration::from_secs(5));
+}
+
+/// Guards against a sound instance being left for one connection that has stopped, and against that one being
+/// waited for as if nobody could know.
+#[test]
+fn a_connection_that_alone_has_stopped_is_moved_and_the_others_stay() {
+    let (told, heard) = channel();
+    let mixed = instance(move |mut peer| {
+        let stops = peer.hear().starts_with("OPEN 0 ");
+        peer.say("UP 1\r\n");
+        loop {
+            match peer.hear() {
+                end if matches!(end.as_str(), "END" | "RESET") => break,
+                line if !stops => drop(peer.say(&format!("{line}\r\n"))),
+                _ => {}
+            }
+        }
+        let _ = told.send(stops);
+    });
+    let list = [entry("s-00000001", mixed, "ready"), entry("s-00000002", nobody(), "ready")];
+    let balancer = Balancer::start(&Discovery::quiet(), &list, None);
+    let open = |i| {
+        let mut client = balancer.client();
+        assert_eq!(client.say(&format!("OPEN {i} {i} c=watch,d=2000,g=7\r\n")).hear(), "UP 1");
+        client
+    };
+    let mut clients: Vec<Lines> = (0..6).map(open).collect();
+    let since = Instant::now();
+    clients[0].say("anybody\r\n");
+    for _ in 0..5 {
+        for client in &mut clients[1..] {
+            assert_eq!(client.say("here\r\n").hear(), "here");
+        }
+        std::thread::sleep(Duration::from_millis(500));
+    }
+    assert_eq!(clients[0].hear(), "MOVE");
+    assert!(since.elapsed() < Duration::from_secs(4), "{:?}", since.elapsed());
+    assert!(heard.recv().unwrap(), "it alone was ended");
+    assert!(heard.try_recv().is_err());
 }
 
 /// Guards against an instance whose messages are late being taken for one with little load: it tells both in
