Move clients late in the time before SIGKILL, when the balancer restarted before is back

Log: one balancer was sent SIGTERM at 13.1 s, served again from 17.4 s and got its first client at 18.5 s; the other was sent SIGTERM at 16.1 s and sent its 72 clients away from 16.1 to 18.5 s, when no balancer took any (no UP at either from 16.5 to 18.5 s). Cause: leave in main.rs moved from the first moment on over half of the longest deadline. It also took the time that PROTOCOL counts as 3 s "where it is longer" for a least one. Ruled out: SIGHUP and the watch (each new address told its list within 0.1 s), drains (10 of 10 in time). Now clients are moved from 0.6 of that time to its end, SIGKILL is 0.7 s later, and the program ends as soon as it holds nothing then.

--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -428,11 +428,11 @@
         Some(Execution { instance, name, address, until, broker: self.clone() })
     }
 
-    /// Asks every service client to come again, evenly over this span, and those that are set up meanwhile
+    /// Asks every service client to come again, evenly over this time, and those that are set up meanwhile
     /// too: the program is about to end.
-    pub async fn leave(self: &Rc<Self>, over: Micros) -> ! {
+    pub async fn leave(self: &Rc<Self>, from: Micros, end: Micros) -> ! {
         const TURN: Micros = 20_000;
-        let end = self.now().saturating_add(over);
+        self.until(from).await;
         let mut due = 0.0;
         loop {
             self.after(TURN).await;
--- a/src/main.rs
+++ b/src/main.rs
@@ -22,8 +22,12 @@
 const XMPP: &str = "deploy/xmpp.toml";
 /// The file of the services' contracts, unless `OAKDEAL_SERVICES` names another; absent, there are none.
 const SERVICES: &str = "deploy/services.toml";
-/// SIGKILL comes no sooner after SIGTERM than the longest deadline, taken for this where it is shorter.
-const SHORTEST_END: u64 = 3_000_000;
+/// SIGKILL comes no sooner after SIGTERM than the longest deadline, taken for this where it is longer, and some
+/// tenths of a second more.
+const LONGEST_END: u64 = 3_000_000;
+/// From when on in that time clients are asked to come again, in tenths: in a rolling restart the balancer before
+/// this one needs seconds to be let in again, and until then a client that was sent away has nowhere to go.
+const FROM: u64 = 6;
 
 async fn run() -> Result<(), String> {
     // Taken from the first moment on: without a handler SIGHUP ends the process.
@@ -112,13 +116,21 @@
 }
 
 /// The program is to end: it goes on answering, and asks every client to come again, in time before it may
-/// be killed. It ends when nothing is left and it could have been killed by then.
+/// be killed. It ends when that time has come and nothing is left.
 async fn leave(broker: &Rc<Broker>) {
-    let may_end = broker.now() + broker.longest().max(SHORTEST_END) + 2_000_000;
+    let span = broker.longest().min(LONGEST_END);
+    let (from, end) = (broker.now() + span * FROM / 10, broker.now() + span);
     log::info!("leaving: {} connections are asked to come again", broker.in_hand());
+    let emptied = async {
+        broker.until(end).await;
+        while broker.in_hand() > 0 {
+            broker.after(20_000).await;
+        }
+    };
     tokio::select! {
-        () = broker.until(may_end) => {}
-        _ = broker.leave(broker.longest().max(SHORTEST_END) / 2) => {}
+        () = emptied => {}
+        () = broker.until(end + 2_000_000) => {}
+        _ = broker.leave(from, end) => {}
     }
     log::info!("left with {} connections in hand", broker.in_hand());
 }
--- a/tests/lines.rs
+++ b/tests/lines.rs
@@ -318,7 +318,8 @@
     assert_eq!(balancer.client().say("OPEN 3 3 c=watch,d=2000,t=large\r\n").hear(), "UP 1");
 }
 
-/// Guards against connections cut off without `MOVE`, and against a `MOVE` within a line.
+/// Guards against connections cut off without `MOVE`, a `MOVE` within a line, and clients sent away while the
+/// balancer that was restarted before is not let in again.
 #[test]
 fn at_the_end_clients_are_moved_between_two_lines_and_new_ones_still_answered() {
     let half = instance(|mut peer| {
@@ -329,10 +330,11 @@
         peer.hear();
     });
     let list = [entry("s-00000001", half, "ready")];
-    let balancer = Balancer::start(&Discovery::quiet(), &list, None);
+    let mut balancer = Balancer::start(&Discovery::quiet(), &list, None);
     let mut client = balancer.client();
     assert_eq!(client.say("OPEN 1 2 c=watch,d=2000\r\n").hear(), "UP 1");
     assert_eq!(client.say("go\r\n").hear(), "whole");
+    let since = Instant::now();
     balancer.terminate();
     balancer.logged("leaving");
     let mut new = balancer.client();
@@ -340,6 +342,12 @@
     assert_eq!(client.hear(), "MOVE");
     assert_eq!(client.hear(), "END");
     assert_eq!(new.hear(), "MOVE");
+    // The longest deadline is 2 s, and SIGKILL comes 0.7 s after it.
+    assert!((1_000..2_400).contains(&since.elapsed().as_millis()), "{:?}", since.elapsed());
+    balancer.logged("left with 0 connections");
+    while balancer.runs() {
+        std::thread::sleep(Duration::from_millis(10));
+    }
 }
 
 /// Guards against connections held to an instance that no longer does its work, and lines held back.
