--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 //! assert!(matches!(out.last(), Some(Action::Send { host: 11 | 12, .. })));
 //! ```
 pub mod api;
+pub mod bounded_log;
 pub mod brain;
 pub mod broker;
 pub mod config;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,6 +1,7 @@
 //! Starts the balancer.
 
 use oakdeal::api::ListKind;
+use oakdeal::bounded_log::BoundedLog;
 use oakdeal::broker::Broker;
 use oakdeal::config::{self, Config, Xmpp};
 use oakdeal::net;
@@ -166,10 +167,13 @@
 }
 
 fn start() -> ExitCode {
-    env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
+    let logger = env_logger::Builder::from_env(env_logger::Env::default().default_filter_or("info"))
         .format_timestamp_millis()
         .target(env_logger::Target::Stderr)
-        .init();
+        .build();
+    log::set_max_level(logger.filter());
+    // Fails only if there is one already, and there is none.
+    let _ = log::set_boxed_logger(Box::new(BoundedLog::new(logger)));
     let runtime = match tokio::runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(e) => {
