Walk on to eight hosts before a client is turned away, where few nodes share them

Log: three of five instances had learned ceilings, the walk ended there (SPREAD was 3 in choose), and an instance of size 1.5 held nothing from the first to the last second. No connection's silence had to do with it. Now a walk that found a host with room but for its share ends after three as before, one that found none after eight; with more than eight nodes three stays (tests/scale.rs: copies of groups cost hundreds of nodes too much).

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -43,8 +43,9 @@
 const BUSY: (f64, f64) = (0.6, 0.8);
 /// What a host whose messages are past their aim may keep of this node's load there.
 const CUT: f64 = 0.8;
-/// How many hosts without room a walk passes before the request is turned away: each copy of a group costs.
-const SPREAD: u32 = 3;
+/// How many hosts a walk passes, and how many if none has any room and so many nodes or fewer share them: each
+/// copy of a group costs, but less than to refuse while a host is idle. The first holds for probes too.
+const SPREAD: (u32, u32) = (3, 8);
 /// A client that is back most likely left an overloaded home. A node that sees little knows nothing of that:
 /// with at most this chance it passes the home. Hurts where clients are back for another reason.
 const ASTRAY: f64 = 0.5;
@@ -600,7 +601,7 @@
         let Some(h) = self.hosts.get(&id).filter(|_| self.settings.limits.probes) else { return false };
         let trouble = self.trouble.is_some_and(|at| now < at.saturating_add(TROUBLE));
         let cause = c.returned || c.sends > 0 || h.unlisted.is_some() || h.unproven || trouble;
-        cause && !h.fresh(now) && c.probes <= SPREAD && now + self.probe_wait() < c.deadline
+        cause && !h.fresh(now) && c.probes <= SPREAD.0 && now + self.probe_wait() < c.deadline
     }
 
     fn probe_wait(&self) -> Micros {
@@ -688,7 +689,8 @@
                 spare.get_or_insert(id);
             }
             full += 1;
-            if full >= SPREAD {
+            let far = spare.is_none() && self.settings.peers_total <= SPREAD.1;
+            if full >= if far { SPREAD.1 } else { SPREAD.0 } {
                 break;
             }
         }
@@ -831,9 +833,7 @@
             let Some(to) = to else { continue };
             self.detach(&call);
             self.attach(&call, to);
-            if let Some(c) = self.calls.get_mut(&call) {
-                c.leaving = true;
-            }
+            self.calls.entry(call.clone()).and_modify(|c| c.leaving = true);
             out.push(Action::Move { call });
         }
     }
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -218,3 +218,18 @@
         "{slow:?}"
     );
 }
+
+/// Guards against clients being turned away for the sake of groups while a host stands idle.
+#[test]
+fn nobody_is_turned_away_while_any_host_has_room() {
+    let mut node = Node::new(settings(), 1..=6);
+    for i in 0..30 {
+        node.stand(0, &format!("c{i}"), Some(&format!("g{i}")));
+    }
+    for host in 1..=5 {
+        node.tell(S, Event::DelayNote { host, delay: 50 * MS });
+    }
+    for i in 0..6 {
+        assert_eq!(sent(&node.demand(S, &format!("new{i}"), 0, Some(&format!("g{i}")))), Some(6));
+    }
+}
