--- a/src/brain.rs
+++ b/src/brain.rs
@@ -43,7 +43,7 @@
 const BUSY: (f64, f64) = (0.6, 0.8);
 /// What a host whose messages are past their aim may keep of this node's load there.
 const CUT: f64 = 0.8;
-/// How many hosts a walk passes, and how many if none has any room and so many nodes or fewer share them: each
+/// How many hosts a walk passes, and how many if none has room and so many nodes or fewer share them. Each
 /// copy of a group costs, but less than to refuse while a host is idle. The first holds for probes too.
 const SPREAD: (u32, u32) = (3, 8);
 /// A client that is back most likely left an overloaded home. A node that sees little knows nothing of that:
