Log at debug what a balancer is told at its start, and adopted connections

The events of connections that stood before the start were not in the debug log, so the fleet's standing connections could not be counted from it.

--- a/src/broker/core.rs
+++ b/src/broker/core.rs
@@ -111,8 +111,9 @@
         });
         let book = Book { class: demand.class, team: team.map(Into::into), ticket, stands: true };
         self.books.insert(demand.call.clone(), book);
-        let mut actions = Vec::new();
-        self.tell(now, Event::Adopted(demand, host), &mut actions);
+        let (event, mut actions) = (Event::Adopted(demand, host), Vec::new());
+        tracing::debug!("told: {event:?}");
+        self.tell(now, event, &mut actions);
         actions
     }
 
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -61,6 +61,7 @@
     let (mut term, mut hang_up) = (taken(SignalKind::terminate())?, taken(SignalKind::hangup())?);
     let (mut config, text) = Config::read(&sources.config)?;
     let operator = sources.operator(&config)?;
+    tracing::debug!("told at the start: {text}");
     operator.warnings.iter().for_each(|w| tracing::warn!("{w}"));
     let (settings, names) = config.settings.translate().map_err(|e| e.to_string())?;
     let seed = config.seed();
