Pass a host that drops a standing connection for 4 s where a balancer sees little

At fault: `Event::Finished` in src/brain.rs excused every end of a connection that had begun, so the one sign that such a server gives to a balancer with one connection was thrown away. Changed: where a node sees little (over half of the traffic is hidden from it) such a reset is a failure, and counts as the fourth. A second one there doubles the time, as ever.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -64,6 +64,10 @@
 /// Outlier ejection: the first failure passes a host over for this long, each further one for twice as long,
 /// up to 2^5 times.
 const EJECT: Micros = 500_000;
+/// A node sees little from this part of the traffic on that is hidden from it (see `sparse`). Then a host that
+/// drops a standing connection counts as one that failed so often.
+const LITTLE: f64 = 0.5;
+const DROPPED: u32 = 3;
 /// Own zones first from this price of a crossing on, for each zone: a group then has a home in each.
 const NEAR_PRICE: f64 = 0.0125;
 /// How many successors are looked at for one in the own zone, for each zone. More would give a zone with few
@@ -333,7 +337,14 @@
                 let again = |c: &Call| outcome == Outcome::Error && c.maybe_ran.is_some();
                 let excused = self.calls.get(&call).is_some_and(|c| c.begun || again(c));
                 self.detach(&call);
-                if !excused && !matches!(outcome, Outcome::Ok | Outcome::Cancelled | Outcome::Moot) {
+                // A host that drops what stands is overloaded or ends. Who sees little knows it by nothing else,
+                // and its clients would be sent there again at once.
+                let dropped = outcome == Outcome::Reset && self.sparse() > LITTLE;
+                if dropped {
+                    self.hosts.entry(host).and_modify(|h| h.fails = h.fails.max(DROPPED));
+                }
+                if dropped || !excused && !matches!(outcome, Outcome::Ok | Outcome::Cancelled | Outcome::Moot)
+                {
                     self.failed(now, host);
                 }
                 let Some(c) = self.calls.get_mut(&call) else { return };
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -28,6 +28,9 @@
 const ANSWER_AHEAD: Micros = 15_000;
 /// News of slow messages comes once a second and instance, as the module's event means it.
 const SLOW_EVERY: Micros = 1_000_000;
+/// A load is told with `UP`: a figure that comes later than this after it is no opening one. At an instance that
+/// is overloaded the first that comes may be a time, for a connection that is idle tells no load.
+const OPENING: Micros = 50_000;
 /// A connection on which an instance brings nothing back for a message is ended after this long: it may have
 /// stopped up to two seconds before the message, and is owed its end within seven.
 pub const SILENT: Micros = 4_500_000;
@@ -696,7 +699,7 @@
     pub fn told(&mut self, figure: f64) {
         let Some((host, since)) = self.out else { return };
         let now = self.broker.now();
-        let opening = !std::mem::replace(&mut self.loaded, true) && now < since.saturating_add(SLOW_EVERY);
+        let opening = !std::mem::replace(&mut self.loaded, true) && now < since.saturating_add(OPENING);
         if self.broker.delays_told && !opening {
             let mut state = self.broker.state.borrow_mut();
             let delay = state.instances.get_mut(host).and_then(|i| i.pulse.delay(now, figure));
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -82,6 +82,24 @@
     assert!((30..50).contains(&left), "{left}");
 }
 
+/// Guards against a storm: a host that has too much piled up drops its newest connections, and each client that
+/// comes back at a node that sees little was sent there again, to be dropped again.
+#[test]
+fn a_host_that_drops_a_standing_connection_is_passed_for_seconds_where_a_node_sees_little() {
+    let after = |mut node: Node, wait: Micros| {
+        let home = sent(&node.client(0, "c", "k", "g")).expect("placed");
+        node.opened(0, "c", home);
+        node.end(S, "c", home, Outcome::Reset, true);
+        visit(&mut node, S + wait, "other", "g", false) == home
+    };
+    assert!(!after(fleet(), 3 * S) && after(fleet(), 5 * S));
+    let mut much = Node::new(settings(), 1..=6);
+    for i in 0..30 {
+        much.stand(0, &format!("c{i}"), Some(&format!("g{i}")));
+    }
+    assert!(after(much, 0), "where others stand there still, one may break by itself");
+}
+
 #[test]
 fn a_walk_ends_after_three_hosts_without_room_though_others_are_free() {
     let mut node = fleet();
