Spread a fleet's calls of discovery over the time in which it can answer them all

Discovery works through calls that nobody waits for any more. Ruled out: whole lists (all calls name the version they have), capacity (17 to 20 calls a second are answered). At fault: `members` in src/brain.rs asked at once after the known list, and its wait after a failure was drawn from 0.25 to 3 s whatever the number of balancers. Changed: the first call comes by chance within PeersTotal times 60 ms, and that is added to the span of the waits after failures; none is longer than eight tenths of the longest time without asking. One balancer asks at once.

Also: a low figure in a connection's first second is a time (`Pulse`).

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -27,6 +27,9 @@
 /// Token of the timer that asks for the list again, and of those that end a probe: the host is added.
 const T_ASK: u64 = 1;
 const T_PROBE: u64 = 1 << 32;
+/// For so long a call to discovery is held to keep it busy. Calls that wait too long fail, but are worked through
+/// all the same: a fleet that asks, or asks again, faster than this gets no answer at all.
+const CALL: Micros = 60_000;
 /// A sign that a host serves this node is good for so long: in a few seconds a host fails or fills.
 const SEEN: Micros = 2_000_000;
 /// For so long a failure or a late message anywhere makes every placement doubtful: most faults last longer.
@@ -404,7 +407,8 @@
             self.subscribed = false;
             self.ask_failures += 1;
             let step = 250_000u64 << self.ask_failures.min(3);
-            let at = now + step / 2 + self.random() % step;
+            let wait = step / 2 + self.random() % (step + self.round());
+            let at = now + wait.min(self.longest_unasked());
             out.push(Action::Timer { at, token: T_ASK });
             return;
         }
@@ -454,10 +458,25 @@
         if kind != ListKind::Cached {
             (self.subscribed, self.ask_failures) = (true, 0);
         } else if self.settings.discovery == Discovery::Asked {
-            self.ask(out);
+            // All may have started at once. The list is served from meanwhile.
+            match self.random() % (self.round() + 1) {
+                0 => self.ask(out),
+                wait => out.push(Action::Timer { at: now + wait, token: T_ASK }),
+            }
         }
     }
 
+    /// The time in which discovery, one service for all, can answer every other node once.
+    fn round(&self) -> Micros {
+        let others = u64::from(self.settings.peers_total.saturating_sub(1));
+        others.saturating_mul(CALL).min(self.longest_unasked())
+    }
+
+    /// A node that asks this late asks in time still.
+    fn longest_unasked(&self) -> Micros {
+        self.settings.must_ask_in.map_or(Micros::MAX / 4, |most| most / 10 * 8)
+    }
+
     fn ask(&self, out: &mut Vec<Action>) {
         if !self.subscribed {
             out.push(Action::Watch);
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -700,9 +700,10 @@
         let Some((host, since)) = self.out else { return };
         let now = self.broker.now();
         let opening = !std::mem::replace(&mut self.loaded, true) && now < since.saturating_add(OPENING);
+        let young = now < since.saturating_add(SLOW_EVERY);
         if self.broker.delays_told && !opening {
             let mut state = self.broker.state.borrow_mut();
-            let delay = state.instances.get_mut(host).and_then(|i| i.pulse.delay(now, figure));
+            let delay = state.instances.get_mut(host).and_then(|i| i.pulse.delay(now, figure, young));
             drop(state);
             if let Some(delay) = delay {
                 return self.broker.tell(Event::DelayNote { host, delay });
