Fill servers by size and scatter returning clients where a balancer is one of many

Late are the servers of 1.5 cores; those of 4 cores beside them hold half of what they can. Of the load that all can carry a tenth is asked. Checked: loads told and list weights agree (a server of 1.5 is late from 0.9 to 1.4 told). At fault, in src/brain.rs: `choose` bounds load by size only as a share of a node's own load, and with SLACK of three connections that never binds at a node with one; `astray` passed no more than the home; `turn` put guests last, and where most are guests (after any failure) four in five left at the first late message. Changed where a node is one of more than eight and sees little: a host lets in the part of the clients that its size is beside the largest, by the client's place there, the same at every node; a returning client passes each host with the chance that it passed its home; residents and guests are alike.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -50,8 +50,9 @@
 /// How many hosts a walk passes, and how many if none has room and so many nodes or fewer share them. Each
 /// copy of a group costs, but less than to refuse while a host is idle. The first holds for probes too.
 const SPREAD: (u32, u32) = (3, 8);
-/// A client that is back most likely left an overloaded home. A node that sees little knows nothing of that:
-/// with at most this chance it passes the home. Hurts where clients are back for another reason.
+/// A client that is back most likely left an overloaded host. A node that sees little knows nothing of that: with
+/// at most this chance it passes the home, and with the same chance each further host, for where all that were
+/// moved go to the one next host, that is overloaded too. Hurts where clients are back for another reason.
 const ASTRAY: f64 = 0.5;
 /// Where nobody tells how long messages take, no ceiling is learned: a host is held to carry this part of its
 /// registered size (in standard cores, of which loads are counted), and a node its even part of that. What is
@@ -195,8 +196,8 @@
     grouped: bool,
     /// Back after a break or a move, or known to repeat.
     returned: bool,
-    /// Back, and by chance to pass its home once: see `ASTRAY`.
-    astray: bool,
+    /// Back, and by chance to pass so many hosts that would have it: see `ASTRAY`.
+    astray: u32,
     deadline: Micros,
     tried: Vec<HostId>,
     out: Option<HostId>,
@@ -212,10 +213,9 @@
 
 impl Call {
     /// Where a client stands at a host among all clients, from 0 to 1, the same at every node: a host that
-    /// can take a part of a connection from this node takes those below that part, residents before guests.
-    fn turn(&self, host: HostId, home: bool) -> f64 {
-        let turn = xxh64(&host.to_le_bytes(), self.own) as f64 / u64::MAX as f64;
-        turn / 2.0 + if home { 0.0 } else { 0.5 }
+    /// can take a part of a connection from this node takes those below that part.
+    fn place(&self, host: HostId) -> f64 {
+        xxh64(&host.to_le_bytes(), self.own) as f64 / u64::MAX as f64
     }
 }
 
@@ -342,7 +342,7 @@
                 self.detach(&call);
                 // A host that drops what stands is overloaded or ends. Who sees little knows it by nothing else,
                 // and its clients would be sent there again at once.
-                let dropped = outcome == Outcome::Reset && self.sparse() > LITTLE;
+                let dropped = outcome == Outcome::Reset && self.little();
                 if dropped {
                     self.hosts.entry(host).and_modify(|h| h.fails = h.fails.max(DROPPED));
                 }
@@ -579,7 +579,7 @@
             own,
             grouped: d.group.is_some(),
             returned: d.returned || d.repeat,
-            astray: d.returned && self.chance() < ASTRAY * self.sparse(),
+            astray: if d.returned { self.passes() } else { 0 },
             deadline: now.saturating_add(d.left),
             mid_flow: d.mid_flow,
             ..Call::default()
@@ -588,6 +588,12 @@
         d.call
     }
 
+    /// How many hosts a client that is back passes (see `ASTRAY`).
+    fn passes(&mut self) -> u32 {
+        let chance = ASTRAY * self.sparse();
+        (0..SPREAD.1).take_while(|_| self.chance() < chance).count() as u32
+    }
+
     /// Into how many pieces a group is cut: by the part of all connections that it is held to have, beside an
     /// even share of a server. What a node saw of this one is weighed against the mean size of groups, and
     /// that is told by how often any two requests fall into one group.
@@ -725,7 +731,10 @@
         let all = self.load_in(&self.book) + self.load(c);
         let share = BOUND * all / self.totals.size.max(f64::MIN_POSITIVE);
         let part = if self.over_share(c) { OVER_SHARE.1 } else { 1.0 };
-        let (mut ejected, mut spare, mut home, mut full) = (None, None, None, 0);
+        // Nodes that see little fill hosts by their size only if each lets in so many of its clients.
+        let sizes = self.ready().map(|h| self.size_of(h)).filter(|_| self.little());
+        let largest = sizes.fold(0.0, f64::max);
+        let (mut ejected, mut spare, mut home, mut full, mut passed) = (None, None, None, 0, 0);
         for id in self.walk(c.point) {
             let Some(h) = self.hosts.get(&id) else { continue };
             let home = *home.get_or_insert(id) == id;
@@ -738,17 +747,18 @@
             }
             let joins = c.grouped && !h.groups.contains_key(&c.point);
             let load = self.load_in(&h.book) + if joins { self.group_cost() * mean } else { 0.0 };
-            // The home of a returning client, of which this node knows nothing bad.
-            let astray = home && c.astray && h.ceiling.0.is_infinite();
-            let fits = load + c.turn(id, home) * self.load(c) < part * self.ceiling(now, h);
+            let small = c.place(!id) * largest >= self.size_of(h);
+            let astray = passed < c.astray && h.ceiling.0.is_infinite();
+            let fits = load + self.turn(c, id, home) * self.load(c) < part * self.ceiling(now, h);
             let busy = c.probes > 0 && h.fresh(now) && h.load > BUSY.0;
-            if fits && !astray && !busy && load < share * self.size_of(h) + SLACK * mean {
+            if fits && !small && !astray && !busy && load < share * self.size_of(h) + SLACK * mean {
                 return Some(id);
             }
             if fits {
                 spare.get_or_insert(id);
             }
-            full += 1;
+            passed += u32::from(!small);
+            full += u32::from(!small && !astray);
             let far = spare.is_none() && self.settings.peers_total <= SPREAD.1;
             if full >= if far { SPREAD.1 } else { SPREAD.0 } {
                 break;
@@ -758,6 +768,15 @@
         spare.or(ejected.filter(|_| 2 * out() > self.ready().count()))
     }
 
+    /// The client's place there, residents before guests. A node that sees little cannot put some of its guests
+    /// first: it holds one, and wherever most are guests all would leave at the same time.
+    fn turn(&self, c: &Call, host: HostId, home: bool) -> f64 {
+        match (self.little(), home) {
+            (true, _) => c.place(host),
+            (false, home) => c.place(host) / 2.0 + if home { 0.0 } else { 0.5 },
+        }
+    }
+
     fn over_share(&self, c: &Call) -> bool {
         let Some((t, tenant)) = c.tenant.and_then(|t| Some((t, self.settings.tenants.get(t)?))) else {
             return false;
@@ -847,6 +866,11 @@
         (1.0 - self.load_in(&self.book) / mean.max(f64::MIN_POSITIVE)).max(0.0)
     }
 
+    /// This node is one of many and sees little: it must do alone what is right if all do it.
+    fn little(&self) -> bool {
+        self.settings.peers_total > SPREAD.1 && self.sparse() > LITTLE
+    }
+
     /// An attempt failed there. Guards against hosts that are silent, fail fast or break what they are sent.
     fn failed(&mut self, now: Micros, id: HostId) {
         self.trouble = Some(now);
@@ -886,7 +910,7 @@
         for (_, _, weight, call) in list {
             let Some((h, c)) = self.hosts.get(&id).zip(self.calls.get(&call)) else { continue };
             let home = self.walk(c.point).next() == Some(id);
-            let fits = self.load_in(&h.book) - (1.0 - c.turn(id, home)) * weight < self.ceiling(now, h);
+            let fits = self.load_in(&h.book) - (1.0 - self.turn(c, id, home)) * weight < self.ceiling(now, h);
             let again =
                 Call { sends: 0, deadline: Micros::MAX, tried: vec![id], maybe_ran: None, ..c.clone() };
             let to = if fits { None } else { self.choose(now, &again) };
@@ -962,7 +986,7 @@
         let warmth = self.warmth(now, host);
         let part = self.settings.rules.overload_factor * warmth * STEADY * self.steadiness(now);
         let wave = if c.returned || c.sends > 0 { warmth * (1.0 - self.sparse()) } else { 1.0 };
-        let steady = 2.0 * c.turn(id, true) < part * wave;
+        let steady = c.place(id) < part * wave;
         warmth >= 1.0 || steady || self.cold_tokens(now, host, warmth) >= 1.0
     }
 
