Let a fleet use a cold server's budget: by size and by chance where a balancer sees little

At fault: `cold_tokens` in src/brain.rs. A hundredth of the rule's pace fills a token in minutes, of which a node has at most one; by then the host is warm. Changed: where a node is one of many and sees little, a client is let in with a chance: three quarters of what all nodes may send by the host's size and the loads told, since this node's arrival before it, for as long as the rule's span and no longer, so that a wave that reaches all nodes at once keeps the rule too.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -24,11 +24,15 @@
 /// Of the steady traffic on its arcs a cold host is let in `overload_factor` times its warmth times this:
 /// a fleet at half of its capacity could stand twice its even share; uneven arcs and chance need the rest.
 const STEADY: f64 = 0.35;
+/// Part of the rule on cold hosts that nodes which see little use together, and the life that a connection is
+/// held to have: so long fills a host by its size (in standard cores, of which loads are counted).
+const SAFE: f64 = 0.75;
+const LIFE: f64 = 60e6;
 /// Token of the timer that asks for the list again, and of those that end a probe: the host is added.
 const T_ASK: u64 = 1;
 const T_PROBE: u64 = 1 << 32;
-/// For so long a call to discovery is held to keep it busy. Calls that wait too long fail, but are worked through
-/// all the same: a fleet that asks, or asks again, faster than this gets no answer at all.
+/// For so long a call is held to keep discovery busy. Calls that wait too long fail, but are worked through
+/// all the same: a fleet that asks faster than this gets no answer at all.
 const CALL: Micros = 60_000;
 /// A sign that a host serves this node is good for so long: in a few seconds a host fails or fills.
 const SEEN: Micros = 2_000_000;
@@ -50,9 +54,9 @@
 /// How many hosts a walk passes, and how many if none has room and so many nodes or fewer share them. Each
 /// copy of a group costs, but less than to refuse while a host is idle. The first holds for probes too.
 const SPREAD: (u32, u32) = (3, 8);
-/// A client that is back most likely left an overloaded host. A node that sees little knows nothing of that: with
-/// at most this chance it passes the home, and with the same chance each further host, for where all that were
-/// moved go to the one next host, that is overloaded too. Hurts where clients are back for another reason.
+/// A client that is back most likely left an overloaded host. A node that sees little does not know of it:
+/// with at most this chance it passes the home, and as likely each further host, for if all who left go to
+/// the next one it is overloaded too. Hurts where clients are back for another reason.
 const ASTRAY: f64 = 0.5;
 /// Where nobody tells how long messages take, no ceiling is learned: a host is held to carry this part of its
 /// registered size (in standard cores, of which loads are counted), and a node its even part of that. What is
@@ -68,8 +72,8 @@
 /// Outlier ejection: the first failure passes a host over for this long, each further one for twice as long,
 /// up to 2^5 times.
 const EJECT: Micros = 500_000;
-/// A node sees little from this part of the traffic on that is hidden from it (see `sparse`). Then a host that
-/// drops a standing connection counts as one that failed so often.
+/// A node sees little from this part of the traffic on that is hidden from it (see `sparse`). To it, a host
+/// that drops a standing connection is one that failed so often.
 const LITTLE: f64 = 0.5;
 const DROPPED: u32 = 3;
 /// Own zones first from this price of a crossing on, for each zone: a group then has a home in each.
@@ -199,6 +203,8 @@
     /// Back, and by chance to pass so many hosts that would have it: see `ASTRAY`.
     astray: u32,
     deadline: Micros,
+    /// Time since the arrival before it.
+    gap: Micros,
     tried: Vec<HostId>,
     out: Option<HostId>,
     begun: bool,
@@ -309,9 +315,9 @@
             Event::Members { kind, hosts } => self.members(now, kind, hosts, out),
             Event::Tenants(tenants) => self.tenants(tenants),
             Event::Demand(demand) => {
-                self.arrived(now);
                 self.rations(demand.tenant).for_each(|r| r.taken.push_back(now));
                 let call = self.admit(now, demand);
+                self.arrived(now);
                 self.advance(now, call, out);
             }
             Event::Adopted(demand, host) => {
@@ -340,8 +346,8 @@
                 let again = |c: &Call| outcome == Outcome::Error && c.maybe_ran.is_some();
                 let excused = self.calls.get(&call).is_some_and(|c| c.begun || again(c));
                 self.detach(&call);
-                // A host that drops what stands is overloaded or ends. Who sees little knows it by nothing else,
-                // and its clients would be sent there again at once.
+                // A host that drops what stands is overloaded or ends. Who sees little learns that by nothing
+                // else, and its clients would be sent there again at once.
                 let dropped = outcome == Outcome::Reset && self.little();
                 if dropped {
                     self.hosts.entry(host).and_modify(|h| h.fails = h.fails.max(DROPPED));
@@ -581,6 +587,7 @@
             returned: d.returned || d.repeat,
             astray: if d.returned { self.passes() } else { 0 },
             deadline: now.saturating_add(d.left),
+            gap: now.saturating_sub(self.surge.1),
             mid_flow: d.mid_flow,
             ..Call::default()
         };
@@ -768,13 +775,11 @@
         spare.or(ejected.filter(|_| 2 * out() > self.ready().count()))
     }
 
-    /// The client's place there, residents before guests. A node that sees little cannot put some of its guests
-    /// first: it holds one, and wherever most are guests all would leave at the same time.
+    /// The client's place there, residents before guests. Not where nodes see little: each holds one, and
+    /// where most are guests all would leave at the same time.
     fn turn(&self, c: &Call, host: HostId, home: bool) -> f64 {
-        match (self.little(), home) {
-            (true, _) => c.place(host),
-            (false, home) => c.place(host) / 2.0 + if home { 0.0 } else { 0.5 },
-        }
+        let (half, guest) = if self.little() { (1.0, 0.0) } else { (0.5, if home { 0.0 } else { 0.5 }) };
+        c.place(host) * half + guest
     }
 
     fn over_share(&self, c: &Call) -> bool {
@@ -987,7 +992,21 @@
         let part = self.settings.rules.overload_factor * warmth * STEADY * self.steadiness(now);
         let wave = if c.returned || c.sends > 0 { warmth * (1.0 - self.sparse()) } else { 1.0 };
         let steady = c.place(id) < part * wave;
-        warmth >= 1.0 || steady || self.cold_tokens(now, host, warmth) >= 1.0
+        let tokens = || self.cold_tokens(now, host, warmth) >= 1.0;
+        warmth >= 1.0 || steady || tokens() || self.cold_part(id, host, c, warmth)
+    }
+
+    /// Where a token is made of many nodes' parts: by chance, what all may send there by its size since this
+    /// node's arrival before this one, and the more the fewer walks meet the host. Were all nodes asked at
+    /// once, what they make up for in one fits into the rule's span.
+    fn cold_part(&self, id: HostId, host: &Host, c: &Call, warmth: f64) -> bool {
+        let (rules, told) = (&self.settings.rules, self.told.last().is_some_and(|told| told.1 > 0.0));
+        let gap = (c.gap as f64).min(rules.fall_time as f64 / SAFE);
+        let met = (self.hosts.len() as f64 / f64::from(SPREAD.0)).max(1.0);
+        let fills = self.size_of(host) * 1e6 / LIFE / f64::from(self.settings.peers_total);
+        let room = SAFE * rules.overload_factor * warmth * fills * gap * met;
+        let draw = xxh64(&id.to_le_bytes(), c.own ^ c.deadline) as f64 / u64::MAX as f64;
+        told && self.settings.weighted && self.little() && draw * self.load(c) < room
     }
 
     fn spend(&mut self, now: Micros, id: HostId, call: &CallId) {
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -314,6 +314,72 @@
     );
 }
 
+/// Nodes that see little and know loads and sizes: what they send together to each cold host of these sizes, within
+/// the rule's span at the most and in all, in parts of what the rule allows over that time. A wave of returning
+/// clients reaches all at once after a long quiet; then they come at unequal rates.
+fn sent_by_size(nodes: u32, seed: u64) -> (Vec<f64>, f64) {
+    let (mut s, load, life) = (settings(), 40e3, 45.0);
+    (s.peers_total, s.weighted, s.rules.fall_time) = (nodes, true, 1_500 * MS);
+    let (start, span, end) = (60 * S, s.rules.fall_time, 8 * S);
+    let size = |h: HostId| [1.5, 2.0, 4.0][h as usize % 3];
+    let cold: Vec<HostId> = (1..=8).collect();
+    let entries = |restarted: bool| -> Vec<Entry> {
+        let at = |h: HostId| if restarted && cold.contains(&h) { start } else { 0 };
+        (1..=20).map(|h| Entry { ready_at: at(h), weight: size(h), ..Entry::ready(h) }).collect()
+    };
+    let mut at_cold: Vec<(HostId, Micros)> = Vec::new();
+    for n in 0..nodes {
+        let mut node = Node(Brain::new(s.clone(), seed * 1_000 + u64::from(n)).expect("settings"));
+        node.list(0, ListKind::Cached, entries(false));
+        let own = format!("own{n}");
+        node.tell(0, Event::Adopted(Demand::new(&own, 0, 0), 9 + n % 12));
+        node.tell(0, Event::LoadNote { call: own.as_str().into(), load });
+        node.list(start, ListKind::Changes, entries(true));
+        // From one in half a second to one in four, the first of all within the first second.
+        let step = 500 * MS * u64::from(1 + n % 8);
+        let first = u64::from(n * 37 % 100) * 10 * MS;
+        for now in (0..).map(|i| start + first + i * step).take_while(|&now| now < start + end) {
+            let call = format!("{seed}-{n}-{now}");
+            let (key, group) = (Some(call.as_str().into()), Some(format!("g{}", n % 6).into()));
+            let demand = Demand { key, group, returned: true, ..Demand::new(&call, 0, 2 * S) };
+            if let Some(host) = sent(&node.tell(now, Event::Demand(demand))) {
+                at_cold.extend(cold.contains(&host).then_some((host, now)));
+                node.end(now, &call, host, Outcome::Ok, true);
+            }
+        }
+    }
+    let may = |h: HostId, age: Micros, span: Micros| {
+        let rules = &s.rules;
+        let warmth = rules.cold_share + (1.0 - rules.cold_share) * age as f64 / rules.cold_time as f64;
+        rules.overload_factor * warmth * size(h) * 1e6 / load / life * span as f64 / S as f64
+    };
+    let within = |h: HostId, from: Micros, to: Micros| {
+        at_cold.iter().filter(|&&(host, at)| host == h && (from..to).contains(&(at - start))).count() as f64
+    };
+    let windows = (0..end / span).map(|i| {
+        let (from, to) = (i * span, (i + 1) * span);
+        let sums =
+            cold.iter().fold((0.0, 0.0), |(a, b), &h| (a + within(h, from, to), b + may(h, from, span)));
+        sums.0 / sums.1
+    });
+    (windows.collect(), at_cold.len() as f64)
+}
+
+#[test]
+fn nodes_that_see_little_use_a_cold_hosts_budget_and_keep_it_in_a_wave() {
+    for nodes in [12, 100, 200] {
+        let days: Vec<(Vec<f64>, f64)> = (0..20).map(|seed| sent_by_size(nodes, seed)).collect();
+        for i in 0..days[0].0.len() {
+            let part = days.iter().map(|(windows, _)| windows[i]).sum::<f64>() / days.len() as f64;
+            assert!(part < 1.0, "{nodes} nodes, span {i}: {part} of the rule");
+            assert!(
+                nodes < 100 || part > 0.1,
+                "{nodes} nodes, span {i}: {part} of the rule, next to nothing"
+            );
+        }
+    }
+}
+
 #[test]
 fn short_drain_graces_hold_for_nodes_with_an_old_list_too() {
     for grace in [200 * MS, 250 * MS] {
