--- a/lab/src/model/discovery.rs
+++ b/lab/src/model/discovery.rs
@@ -3,8 +3,6 @@
 
 use oakdeal::{Entry, HostState, Micros};
 
-/// A whole list takes so long to give; calls wait in turn.
-const CALL: Micros = 20_000;
 /// A call that would wait longer fails.
 const WAIT: Micros = 2_000_000;
 
@@ -12,14 +10,16 @@
 #[derive(Clone, Debug)]
 pub struct Discovery {
     entries: Vec<Entry>,
+    /// A call keeps it busy for so long; calls wait in turn.
+    each: Micros,
     free_at: Micros,
     down_until: Micros,
 }
 
 impl Discovery {
     /// One that lists these.
-    pub fn new(entries: Vec<Entry>) -> Discovery {
-        Discovery { entries, free_at: 0, down_until: 0 }
+    pub fn new(entries: Vec<Entry>, each: Micros) -> Discovery {
+        Discovery { entries, each, free_at: 0, down_until: 0 }
     }
 
     /// It is down until then.
@@ -51,10 +51,11 @@
             return Err(now + 1_000);
         }
         let begins = self.free_at.max(now);
+        // It is worked off though nobody waits for it any more: that is how a fleet that asks too often gets nothing.
+        self.free_at = begins + self.each;
         if begins - now > WAIT {
             return Err(now + WAIT);
         }
-        self.free_at = begins + CALL;
         Ok(self.free_at)
     }
 
--- a/lab/src/report/mod.rs
+++ b/lab/src/report/mod.rs
@@ -1,6 +1,8 @@
 //! Records as one HTML file that needs no network: service over time, load by server, connections, refusals and
 //! moves with the faults on the time axis, times to `UP`, and tables by class and team. The plots are SVG, drawn by plotters.
 
+pub mod fleet;
+
 use crate::score::record::{replay, Entry, Reader, What};
 use crate::score::service::{Outcome, Part, Service};
 use plotters::prelude::*;
@@ -10,6 +12,7 @@
 /// What a report needs of a run.
 struct Day {
     outcome: Outcome,
+    counts: fleet::Counts,
     title: String,
     seconds: Vec<(f64, f64)>,
     /// Each server's load, second by second.
@@ -26,6 +29,7 @@
     let said = |e: String| format!("{}: {e}", path.display());
     let file = std::fs::File::open(path).map_err(|e| said(format!("cannot be read: {e}")))?;
     let (mut service, mut title, mut from) = (Service::default(), String::new(), 0);
+    let mut counts = fleet::Counts::default();
     let (mut loads, mut held, mut faults) = (Vec::new(), Vec::new(), Vec::new());
     let (mut refused, mut moved) = (Vec::<u32>::new(), Vec::<u32>::new());
     let count = |all: &mut Vec<u32>, t: u64, from: u64| {
@@ -50,6 +54,7 @@
             What::Moved { .. } => count(&mut moved, entry.t, from),
             _ => {}
         }
+        counts.read(&entry);
         service.read(&entry);
     })
     .map_err(said)?;
@@ -58,6 +63,7 @@
     Ok(Day {
         to_up,
         outcome,
+        counts,
         title,
         seconds: service.seconds().to_vec(),
         loads,
@@ -186,6 +192,7 @@
     let times: Vec<Series> = names.zip(day.to_up.iter().cloned()).collect();
     let top = times.iter().flat_map(|s| &s.1).copied().fold(1.0, f64::max) * 1.05;
     html.push_str(&plot(&[], "time to UP, milliseconds", "hundredths of the requests", &times, top)?);
+    html.push_str(&day.counts.html());
     parts(html, "class", &o.classes);
     parts(html, "team", &o.teams);
     Ok(())
--- a/lab/src/scenario/library.rs
+++ b/lab/src/scenario/library.rs
@@ -4,7 +4,7 @@
 use std::path::Path;
 
 /// Name and text of each.
-pub const ALL: [(&str, &str); 12] = [
+pub const ALL: [(&str, &str); 15] = [
     ("calm", include_str!("../../scenarios/calm.toml")),
     ("typhoon", include_str!("../../scenarios/typhoon.toml")),
     ("cold-server", include_str!("../../scenarios/cold-server.toml")),
@@ -16,6 +16,9 @@
     ("discovery-down", include_str!("../../scenarios/discovery-down.toml")),
     ("drains", include_str!("../../scenarios/drains.toml")),
     ("large", include_str!("../../scenarios/large.toml")),
+    ("fleet-release", include_str!("../../scenarios/fleet-release.toml")),
+    ("fleet-zone", include_str!("../../scenarios/fleet-zone.toml")),
+    ("fleet-replaced", include_str!("../../scenarios/fleet-replaced.toml")),
     ("small", include_str!("../../scenarios/small.toml")),
 ];
 
--- a/lab/src/scenario/mod.rs
+++ b/lab/src/scenario/mod.rs
@@ -80,6 +80,8 @@
     pub within: Span,
     /// How late discovery tells of a change, at least and at most.
     pub told_after: (Span, Span),
+    /// How long discovery is busy with a call; calls wait in turn, and one that fails for it costs as much.
+    pub call: Span,
     /// Memory and descriptors are not modelled; probes are allowed or not.
     pub probes: bool,
     /// Most attempts for one request.
@@ -108,6 +110,7 @@
             between: ms(8),
             within: Span(500),
             told_after: (ms(500), ms(3_000)),
+            call: ms(20),
             probes: true,
             attempts: 4,
             xmpp: 0.0,
--- a/lab/src/score/checker.rs
+++ b/lab/src/score/checker.rs
@@ -215,6 +215,7 @@
             }
             What::End { .. } => self.end(t),
             What::Moved { .. } | What::Started { .. } | What::Fault { .. } | What::Second { .. } => {}
+            What::Called { .. } | What::Probed { .. } => {}
         }
     }
 }
--- a/lab/src/score/record.rs
+++ b/lab/src/score/record.rs
@@ -96,6 +96,16 @@
         server: usize,
         state: char,
     },
+    /// A balancer called discovery; whether it will be answered.
+    Called {
+        node: usize,
+        answered: bool,
+    },
+    /// A balancer probed a server.
+    Probed {
+        node: usize,
+        server: usize,
+    },
     /// A balancer died: what it held is the clients' to repeat.
     Died {
         node: usize,
--- a/lab/src/virt/engine.rs
+++ b/lab/src/virt/engine.rs
@@ -268,7 +268,7 @@
         nodes,
         clients: plan.clients.iter().map(client).collect(),
         network: Network::new(&scenario.fleet),
-        discovery: Discovery::new(entries.collect()),
+        discovery: Discovery::new(entries.collect(), scenario.fleet.call.0),
         lag: stream(seed, "lag"),
         reader,
         wants: vec![0; cells],
@@ -463,11 +463,14 @@
                     () if h.silent.is_some() => (CONNECT, Outcome::Timeout),
                     () => (way + 1_000, Outcome::Ok),
                 };
+                self.note(What::Probed { node: n, server });
                 self.at(self.now + after, Ev::Probed(n, epoch, server, outcome));
             }
             Action::Watch => {
                 let epoch = self.nodes[n].epoch;
-                match self.discovery.call(self.now) {
+                let called = self.discovery.call(self.now);
+                self.note(What::Called { node: n, answered: called.is_ok() });
+                match called {
                     Ok(at) => self.at(at, Ev::News(n, epoch, ListKind::Full, None)),
                     Err(at) => self.at(at, Ev::News(n, epoch, ListKind::Failed, None)),
                 }
--- a/lab/tests/lab.rs
+++ b/lab/tests/lab.rs
@@ -5,6 +5,7 @@
 use oakdeal_lab::cli::run;
 use oakdeal_lab::model::server::{Came, Server};
 use oakdeal_lab::model::setups::Setups;
+use oakdeal_lab::report::fleet::Counts;
 use oakdeal_lab::scenario::plan::{stream, Machine, Plan};
 use oakdeal_lab::scenario::{library, Fleet, Scenario};
 use oakdeal_lab::score::checker::{Checker, Rule};
@@ -42,6 +43,29 @@
     assert_eq!(on(1), on(4));
 }
 
+/// Guards against what is harmless in one balancer and not in a hundred: calls of discovery that all fail, cold
+/// servers that get nothing or fall over, clients that go from one late server to the next.
+#[test]
+fn a_hundred_balancers_are_told_the_list_use_cold_servers_and_push_none_over() {
+    for (name, calls) in [("fleet-release", 70), ("fleet-zone", 0), ("fleet-replaced", 0)] {
+        let record = bytes(name, 3);
+        assert!(record == bytes(name, 3), "{name}: the same seed is the same day");
+        let (mut counts, mut service) = (Counts::default(), Service::default());
+        let read = |entry: Entry| {
+            counts.read(&entry);
+            service.read(&entry);
+        };
+        replay(&record[..], read).unwrap();
+        assert_eq!(counts.total("calls that fail"), 0, "{name}");
+        assert!(counts.total("calls of discovery") >= calls, "{name}: each that came back asked");
+        assert!(counts.total("connects to cold servers") > 0, "{name}");
+        assert_eq!(counts.total("cold servers pushed over"), 0, "{name}");
+        let outcome = service.outcome().unwrap();
+        assert!(outcome.breaks.is_empty(), "{name}: {:?}", outcome.first_breaks);
+        assert!(counts.total("moves") < outcome.requests, "{name}: {} moves", counts.total("moves"));
+    }
+}
+
 /// Guards against requests that vanish in the model itself.
 #[test]
 fn every_request_ends_in_exactly_one_way_and_all_can_be_computed_again_from_the_record() {
