--- a/src/brain.rs
+++ b/src/brain.rs
@@ -738,7 +738,8 @@
         let all = self.load_in(&self.book) + self.load(c);
         let share = BOUND * all / self.totals.size.max(f64::MIN_POSITIVE);
         let part = if self.over_share(c) { OVER_SHARE.1 } else { 1.0 };
-        // Nodes that see little fill hosts by their size only if each lets in so many of its clients.
+        // Nodes that see little fill hosts by size only if each lets in so many of its clients. By the square:
+        // a host pays the same for a group or a heavy connection whatever its size.
         let sizes = self.ready().map(|h| self.size_of(h)).filter(|_| self.little());
         let largest = sizes.fold(0.0, f64::max);
         let (mut ejected, mut spare, mut home, mut full, mut passed) = (None, None, None, 0, 0);
@@ -754,7 +755,7 @@
             }
             let joins = c.grouped && !h.groups.contains_key(&c.point);
             let load = self.load_in(&h.book) + if joins { self.group_cost() * mean } else { 0.0 };
-            let small = c.place(!id) * largest >= self.size_of(h);
+            let small = c.place(!id).sqrt() * largest >= self.size_of(h);
             let astray = passed < c.astray && h.ceiling.0.is_infinite();
             let fits = load + self.turn(c, id, home) * self.load(c) < part * self.ceiling(now, h);
             let busy = c.probes > 0 && h.fresh(now) && h.load > BUSY.0;
