Pass over a list that is older than the one held

Need: a copy of discovery that lags behind could tell an older version after a newer one; the balancer took it, and a server that drains was ready again for it. At fault: src/net/discovery.rs took every line as it came. Test: the story of discovery's failures, extended.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -738,8 +738,8 @@
         let all = self.load_in(&self.book) + self.load(c);
         let share = BOUND * all / self.totals.size.max(f64::MIN_POSITIVE);
         let part = if self.over_share(c) { OVER_SHARE.1 } else { 1.0 };
-        // Nodes that see little fill hosts by size only if each lets in so many of its clients. By the square:
-        // a host pays the same for a group or a heavy connection whatever its size.
+        // Nodes that see little fill hosts by size only if each lets in so many of its clients. By the
+        // square: a host pays the same for a group or a heavy connection whatever its size.
         let sizes = self.ready().map(|h| self.size_of(h)).filter(|_| self.little());
         let largest = sizes.fold(0.0, f64::max);
         let (mut ejected, mut spare, mut home, mut full, mut passed) = (None, None, None, 0, 0);
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -343,6 +343,11 @@
         let _ = self.orders.send(Order::Discovery(address));
     }
 
+    /// Version of the list held.
+    pub fn list_version(&self) -> u64 {
+        self.state.borrow().instances.index
+    }
+
     /// News of the list.
     pub fn listed(&self, kind: ListKind, listing: Listing) {
         let hosts = self.state.borrow_mut().instances.news(kind, listing, &self.names);
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -101,6 +101,13 @@
             let whole = held.iter().rposition(|&b| b == b'\n').map_or(0, |i| i + 1);
             for line in held[..whole].split(|&b| b == b'\n').map(trimmed).filter(|line| !line.is_empty()) {
                 let listing = listing(line)?;
+                // Versions only grow: an older one, of a copy that lags behind, would open what drains again.
+                let held = broker.list_version();
+                if listing.index < held {
+                    let index = listing.index;
+                    tracing::warn!("discovery: version {index} of the list came after {held}: passed over");
+                    continue;
+                }
                 let kind = if listing.snapshot { ListKind::Full } else { ListKind::Changes };
                 broker.listed(kind, listing);
             }
--- a/tests/lines.rs
+++ b/tests/lines.rs
@@ -241,6 +241,8 @@
     }
     discovery.push(&listing(2, &[entry("s-00000001", a, "draining")]));
     balancer.logged("s-00000001");
+    discovery.push(&listing(1, &[entry("s-00000001", a, "ready")]));
+    balancer.logged("version 1 of the list came after 2");
     for i in 0..8 {
         let open = format!("OPEN {i} {i} c=watch,d=2000,g=g{i}\r\n");
         assert_eq!(balancer.client().say(&open).hear(), "UP 1");
