Refuse by chance where a fleet's servers as they are cannot carry its clients

Checked: the cold servers get what the rule bears by then (10 connections at one of 4 cores after 8 s); the group costs at the warm ones are a fifth of what they have; moves go from one late server to the other. At fault: `choose` in src/brain.rs takes any host that it has heard nothing bad of for one with room, and a node with one connection has heard of one or two. Changed where a node is one of many, sees little and knows loads and sizes: a client is let in with the chance that the node's even part of 0.3 of what the listed hosts carry as they are (cold ones their present part) is to what it would hold; else it is refused at once with a time spread over all that is allowed. Standing ones are not judged. Test: refuses nobody without the change.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -27,6 +27,9 @@
 /// Part of the rule on cold hosts that nodes which see little use together, and the life that a connection is
 /// held to have: so long fills a host by its size (in standard cores, of which loads are counted).
 const SAFE: f64 = 0.75;
+/// Part of the sizes of all hosts, cold ones as they are, up to which nodes that see little let clients in:
+/// the rest goes to groups that many hosts pay for, to set-ups and to chance. Hurts where sizes are no cores.
+const FULL: f64 = 0.3;
 const LIFE: f64 = 60e6;
 /// Token of the timer that asks for the list again, and of those that end a probe: the host is added.
 const T_ASK: u64 = 1;
@@ -223,6 +226,11 @@
     fn place(&self, host: HostId) -> f64 {
         xxh64(&host.to_le_bytes(), self.own) as f64 / u64::MAX as f64
     }
+
+    /// The same for this try alone.
+    fn draw(&self, host: HostId) -> f64 {
+        xxh64(&host.to_le_bytes(), self.own ^ self.deadline) as f64 / u64::MAX as f64
+    }
 }
 
 /// What the ready hosts are together.
@@ -322,9 +330,7 @@
             }
             Event::Adopted(demand, host) => {
                 let call = self.admit(now, demand);
-                if let Some(c) = self.calls.get_mut(&call) {
-                    (c.begun, c.sends) = (true, 1);
-                }
+                self.calls.entry(call.clone()).and_modify(|c| (c.begun, c.sends) = (true, 1));
                 self.arrived(now);
                 self.attach(&call, host);
             }
@@ -332,9 +338,7 @@
                 if let Some(h) = self.hosts.get_mut(&host) {
                     (h.fails, h.ejected_until, h.seen, h.unproven) = (0, now, Some(now), false);
                 }
-                if let Some(c) = self.calls.get_mut(&call) {
-                    c.begun = true;
-                }
+                self.calls.entry(call).and_modify(|c| c.begun = true);
             }
             Event::LoadNote { call, load } => {
                 self.load_told(&call, load);
@@ -348,18 +352,14 @@
                 self.detach(&call);
                 // A host that drops what stands is overloaded or ends. Who sees little learns that by nothing
                 // else, and its clients would be sent there again at once.
-                let dropped = outcome == Outcome::Reset && self.little();
-                if dropped {
-                    self.hosts.entry(host).and_modify(|h| h.fails = h.fails.max(DROPPED));
-                }
-                if dropped || !excused && !matches!(outcome, Outcome::Ok | Outcome::Cancelled | Outcome::Moot)
-                {
-                    self.failed(now, host);
+                let least = if outcome == Outcome::Reset && self.little() { DROPPED } else { 0 };
+                let passed = excused || matches!(outcome, Outcome::Ok | Outcome::Cancelled | Outcome::Moot);
+                if least > 0 || !passed {
+                    self.failed(now, host, least);
                 }
                 let Some(c) = self.calls.get_mut(&call) else { return };
                 if ended {
-                    self.calls.remove(&call);
-                    return;
+                    return drop(self.calls.remove(&call));
                 }
                 if outcome == Outcome::Moot && c.sends > 1 {
                     // It was never sent: the retry budget gets it back.
@@ -577,6 +577,7 @@
                 point = xxh64(&piece.to_le_bytes(), point);
             }
         }
+        let back = ASTRAY * self.sparse();
         let call = Call {
             class: d.class.min(self.settings.classes.len()),
             tenant: d.tenant.filter(|&t| t < self.settings.tenants.len()),
@@ -585,7 +586,7 @@
             own,
             grouped: d.group.is_some(),
             returned: d.returned || d.repeat,
-            astray: if d.returned { self.passes() } else { 0 },
+            astray: (0..SPREAD.1).take_while(|_| d.returned && self.chance() < back).count() as u32,
             deadline: now.saturating_add(d.left),
             gap: now.saturating_sub(self.surge.1),
             mid_flow: d.mid_flow,
@@ -595,12 +596,6 @@
         d.call
     }
 
-    /// How many hosts a client that is back passes (see `ASTRAY`).
-    fn passes(&mut self) -> u32 {
-        let chance = ASTRAY * self.sparse();
-        (0..SPREAD.1).take_while(|_| self.chance() < chance).count() as u32
-    }
-
     /// Into how many pieces a group is cut: by the part of all connections that it is held to have, beside an
     /// even share of a server. What a node saw of this one is weighed against the mean size of groups, and
     /// that is told by how often any two requests fall into one group.
@@ -702,7 +697,7 @@
     fn probed(&mut self, now: Micros, id: HostId, ok: bool, load: Option<f64>, out: &mut Vec<Action>) {
         let Some((_, calls)) = self.waiting.remove(&id) else { return };
         if !ok {
-            self.failed(now, id);
+            self.failed(now, id, 0);
         } else if let Some(h) = self.hosts.get_mut(&id) {
             (h.seen, h.load) = (Some(now), load.unwrap_or(0.0));
             if let Some(load) = load.filter(|&load| load >= BUSY.1) {
@@ -731,7 +726,7 @@
     /// share of this node's load, the first of them has it. One that is ejected is the last resort, and is
     /// tried only when more than half of the hosts are ejected: then the own view is suspect.
     fn choose(&self, now: Micros, c: &Call) -> Option<HostId> {
-        if c.sends >= self.sends(c) || now >= c.deadline {
+        if c.sends >= self.sends(c) || now >= c.deadline || !self.bears(c) {
             return None;
         }
         let mean = self.mean_load(self.settings.classes.len());
@@ -878,12 +873,12 @@
     }
 
     /// An attempt failed there. Guards against hosts that are silent, fail fast or break what they are sent.
-    fn failed(&mut self, now: Micros, id: HostId) {
+    fn failed(&mut self, now: Micros, id: HostId, least: u32) {
         self.trouble = Some(now);
         if let Some(host) = self.hosts.get_mut(&id) {
             // If it is also unlisted, two that do not know of each other say so; if it never served, nothing
             // speaks for it but the list.
-            host.fails = host.fails.max(if host.unlisted.is_some() || host.unproven { 5 } else { 0 });
+            host.fails = host.fails.max(if host.unlisted.is_some() || host.unproven { 5 } else { least });
             host.ejected_until = now + (EJECT << host.fails.min(5));
             host.fails = host.fails.saturating_add(1);
         }
@@ -1001,13 +996,26 @@
     /// node's arrival before this one, and the more the fewer walks meet the host. Were all nodes asked at
     /// once, what they make up for in one fits into the rule's span.
     fn cold_part(&self, id: HostId, host: &Host, c: &Call, warmth: f64) -> bool {
-        let (rules, told) = (&self.settings.rules, self.told.last().is_some_and(|told| told.1 > 0.0));
+        let rules = &self.settings.rules;
         let gap = (c.gap as f64).min(rules.fall_time as f64 / SAFE);
         let met = (self.hosts.len() as f64 / f64::from(SPREAD.0)).max(1.0);
         let fills = self.size_of(host) * 1e6 / LIFE / f64::from(self.settings.peers_total);
         let room = SAFE * rules.overload_factor * warmth * fills * gap * met;
-        let draw = xxh64(&id.to_le_bytes(), c.own ^ c.deadline) as f64 / u64::MAX as f64;
-        told && self.settings.weighted && self.little() && draw * self.load(c) < room
+        self.measures() && c.draw(id) * self.load(c) < room
+    }
+
+    /// Whether the hosts as they are bear one client more at each node that holds as much: by chance, else
+    /// all would stand on late hosts. Who is refused comes back spread out.
+    fn bears(&self, c: &Call) -> bool {
+        let part = FULL * self.totals.size * 1e6 / f64::from(self.settings.peers_total);
+        let held = f64::from(self.held[self.settings.tenants.len()] + 1);
+        let asked = held * self.mean_load(self.settings.classes.len());
+        c.begun || c.sends > 0 || !self.measures() || c.draw(0) * asked < part
+    }
+
+    /// A node that sees little, but knows loads and sizes in the same unit.
+    fn measures(&self) -> bool {
+        self.settings.weighted && self.told.last().is_some_and(|told| told.1 > 0.0) && self.little()
     }
 
     fn spend(&mut self, now: Micros, id: HostId, call: &CallId) {
@@ -1015,9 +1023,7 @@
         let warmth = self.warmth(now, host);
         let mean = self.mean_load(self.settings.classes.len()).max(f64::MIN_POSITIVE);
         let left = self.cold_tokens(now, host, warmth) - self.load(c) / mean;
-        if let Some(host) = self.hosts.get_mut(&id) {
-            host.tokens = (left, now);
-        }
+        self.hosts.entry(id).and_modify(|h| h.tokens = (left, now));
     }
 
     fn arrival_rate(&self, now: Micros) -> f64 {
@@ -1061,12 +1067,8 @@
             self.told[i] = (self.told[i].0 + load, self.told[i].1 + 1.0);
         }
         self.detach(id);
-        if let Some(c) = self.calls.get_mut(id) {
-            c.load = Some(load);
-        }
-        if let Some(host) = at {
-            self.attach(id, host);
-        }
+        self.calls.entry(id.clone()).and_modify(|c| c.load = Some(load));
+        at.into_iter().for_each(|host| self.attach(id, host));
     }
 
     fn attach(&mut self, id: &CallId, host: HostId) {
--- a/tests/scale.rs
+++ b/tests/scale.rs
@@ -94,6 +94,38 @@
     assert!(back.len() >= 6 && most <= 250, "one group's clients that are back: {back:?}");
 }
 
+/// Guards against a fleet most of whose servers are cold: the few warm ones were asked for more than they have, and
+/// all who stood there were late. Those who find no room are told at once when to come back, each another time.
+#[test]
+fn where_most_hosts_are_cold_nodes_that_see_little_refuse_by_chance_and_else_nobody() {
+    let refusals = |cold: HostId, load: f64| {
+        let mut s = settings();
+        (s.peers_total, s.weighted, s.limits.retry_after) = (100, true, Some(2 * S));
+        (s.rules.cold_share, s.rules.cold_time) = (0.1, 20 * S);
+        let mut waits = Vec::new();
+        for n in 0..300 {
+            let mut node = Node(Brain::new(s.clone(), n).expect("settings"));
+            let at = |h: HostId| if h <= cold { 60 * S } else { 0 };
+            let list = (1..=10).map(|h| Entry { ready_at: at(h), weight: 2.0, ..Entry::ready(h) }).collect();
+            node.list(60 * S, ListKind::Cached, list);
+            node.tell(60 * S, Event::Adopted(Demand::new("own", 0, 0), 10));
+            node.tell(60 * S, Event::LoadNote { call: "own".into(), load });
+            for action in node.client(60 * S + MS, "c", &format!("k{n}"), &format!("g{n}")) {
+                if let Action::Refuse { retry_after, .. } = action {
+                    waits.push(retry_after.expect("when to come back"));
+                }
+            }
+        }
+        waits
+    };
+    // Two of 40e3 at each of a hundred nodes are 8 cores, beside 0.3 of 20, or of 5.6 that are left: a fifth.
+    assert_eq!(refusals(0, 20e3).len(), 0, "4 cores of 20");
+    let some = refusals(8, 40e3);
+    assert!((200..290).contains(&some.len()), "8 cores beside 1.7: {} of 300", some.len());
+    let spread = |from: Micros, to: Micros| some.iter().filter(|w| (from..to).contains(w)).count() * 4;
+    assert!(spread(0, S) > some.len() && spread(S, 2 * S) > some.len(), "spread over all that is allowed");
+}
+
 #[test]
 fn the_only_connection_at_a_host_leaves_when_messages_are_very_late() {
     let mut left = 0;
