Take early figures for times only among many balancers

At fault: Command::told in src/broker/mod.rs and Pulse: with three balancers a connection that goes idle in its first second was taken for a late server, and a third of what stood there was moved. Changed: both rules only above eight balancers.

--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -28,6 +28,8 @@
 const ANSWER_AHEAD: Micros = 15_000;
 /// News of slow messages comes once a second and instance, as the module's event means it.
 const SLOW_EVERY: Micros = 1_000_000;
+/// Above so many balancers each holds so little that a figure may be the only one it has of an instance.
+const MANY: u32 = 8;
 /// A load is told with `UP`: a figure that comes later than this after it is no opening one. At an instance that
 /// is overloaded the first that comes may be a time, for a connection that is idle tells no load.
 const OPENING: Micros = 50_000;
@@ -247,6 +249,8 @@
     names: Names,
     /// Whether instances tell how long messages take there.
     delays_told: bool,
+    /// It is one of so many that it mostly has one connection at an instance.
+    many: bool,
     /// The longest that a client waits.
     longest: Micros,
     class_deadlines: Vec<Micros>,
@@ -270,6 +274,7 @@
         let (orders, ordered) = unbounded_channel();
         let broker = Broker {
             delays_told: settings.delays_told,
+            many: settings.peers_total > MANY,
             longest: settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0),
             turn_at: Cell::new(Micros::MAX),
             sooner: Notify::new(),
@@ -704,8 +709,10 @@
     pub fn told(&mut self, figure: f64) {
         let Some((host, since)) = self.out else { return };
         let now = self.broker.now();
-        let opening = !std::mem::replace(&mut self.loaded, true) && now < since.saturating_add(OPENING);
-        let young = now < since.saturating_add(SLOW_EVERY);
+        // Among few balancers others tell of the instance too, and one idle connection must not speak for it.
+        let (many, window) = (self.broker.many, if self.broker.many { OPENING } else { SLOW_EVERY });
+        let opening = !std::mem::replace(&mut self.loaded, true) && now < since.saturating_add(window);
+        let young = many && now < since.saturating_add(SLOW_EVERY);
         if self.broker.delays_told && !opening {
             let mut state = self.broker.state.borrow_mut();
             let delay = state.instances.get_mut(host).and_then(|i| i.pulse.delay(now, figure, young));
