Ask once a placement whether a node sees little, and say the rest in one place

Seen on reading the change again: `choose` asked `little` for every host, and again at each step of the walk; the bound on few balancers stood twice (SPREAD in the module, MANY in the broker); the report counted refusals and moves beside the new table; `turn` had left `Call`, though two comments still named it there; LIFE had lost its comment.

--- a/lab/src/report/fleet.rs
+++ b/lab/src/report/fleet.rs
@@ -63,6 +63,14 @@
         }
     }
 
+    /// What all these came to, second by second.
+    pub fn seconds(&self, names: &[&str]) -> Vec<f64> {
+        let all: Vec<&Vec<u32>> = names.iter().filter_map(|name| self.by_name.get(name)).collect();
+        let end = all.iter().map(|seconds| seconds.len()).max().unwrap_or(0);
+        let at = |i: usize| all.iter().filter_map(|seconds| seconds.get(i)).map(|&n| f64::from(n)).sum();
+        (0..end).map(at).collect()
+    }
+
     /// The sum over all seconds.
     pub fn total(&self, name: &str) -> u64 {
         self.by_name.get(name).map_or(0, |seconds| seconds.iter().map(|&n| u64::from(n)).sum())
--- a/lab/src/report/mod.rs
+++ b/lab/src/report/mod.rs
@@ -18,8 +18,6 @@
     /// Each server's load, second by second.
     loads: Vec<Vec<f32>>,
     held: Vec<u64>,
-    refused: Vec<u32>,
-    moved: Vec<u32>,
     faults: Vec<(f64, f64, String)>,
     /// Times to `UP` by class, at each hundredth.
     to_up: Vec<Vec<f64>>,
@@ -31,14 +29,6 @@
     let (mut service, mut title, mut from) = (Service::default(), String::new(), 0);
     let mut counts = fleet::Counts::default();
     let (mut loads, mut held, mut faults) = (Vec::new(), Vec::new(), Vec::new());
-    let (mut refused, mut moved) = (Vec::<u32>::new(), Vec::<u32>::new());
-    let count = |all: &mut Vec<u32>, t: u64, from: u64| {
-        let Some(at) = t.checked_sub(from).map(|us| (us / 1_000_000) as usize) else { return };
-        if all.len() <= at {
-            all.resize(at + 1, 0);
-        }
-        all[at] += 1;
-    };
     replay(file, |entry: Entry| {
         match &entry.what {
             What::Begin { title: told, score_from, .. } => (title, from) = (told.clone(), *score_from),
@@ -50,8 +40,6 @@
                 let at = |us: u64| us.saturating_sub(from) as f64 / 1e6;
                 faults.push((at(entry.t), at(*until), text.clone()));
             }
-            What::Answer { refused: true, .. } => count(&mut refused, entry.t, from),
-            What::Moved { .. } => count(&mut moved, entry.t, from),
             _ => {}
         }
         counts.read(&entry);
@@ -60,18 +48,7 @@
     .map_err(said)?;
     let outcome = service.outcome().map_err(said)?;
     let to_up = (0..outcome.classes.len()).map(|class| service.to_up_ms(class)).collect();
-    Ok(Day {
-        to_up,
-        outcome,
-        counts,
-        title,
-        seconds: service.seconds().to_vec(),
-        loads,
-        held,
-        refused,
-        moved,
-        faults,
-    })
+    Ok(Day { to_up, outcome, counts, title, seconds: service.seconds().to_vec(), loads, held, faults })
 }
 
 /// A line of a plot: its name and its values, one a second.
@@ -184,8 +161,8 @@
     let held: Vec<f64> = day.held.iter().map(|&n| n as f64).collect();
     let top = held.iter().copied().fold(1.0, f64::max) * 1.1;
     html.push_str(&plot(&day.faults, "standing connections", "seconds", &[("held", held)], top)?);
-    let each = |all: &[u32]| all.iter().map(|&n| f64::from(n)).collect::<Vec<f64>>();
-    let both = [("refused", each(&day.refused)), ("moved", each(&day.moved))];
+    let refused = day.counts.seconds(&["refused", "refused by contract"]);
+    let both = [("refused", refused), ("moved", day.counts.seconds(&["moves"]))];
     let top = both.iter().flat_map(|s| &s.1).copied().fold(1.0, f64::max) * 1.1;
     html.push_str(&plot(&day.faults, "refusals and moves, each second", "seconds", &both, top)?);
     let names = o.classes.iter().map(|c| c.name.as_str());
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -27,10 +27,10 @@
 /// Part of the rule on cold hosts that nodes which see little use together, and the life that a connection is
 /// held to have: so long fills a host by its size (in standard cores, of which loads are counted).
 const SAFE: f64 = 0.75;
+const LIFE: f64 = 60e6;
 /// Part of the sizes of all hosts, cold ones as they are, up to which nodes that see little let clients in:
 /// the rest goes to groups that many hosts pay for, to set-ups and to chance. Hurts where sizes are no cores.
 const FULL: f64 = 0.3;
-const LIFE: f64 = 60e6;
 /// Token of the timer that asks for the list again, and of those that end a probe: the host is added.
 const T_ASK: u64 = 1;
 const T_PROBE: u64 = 1 << 32;
@@ -56,7 +56,7 @@
 const CUT: f64 = 0.8;
 /// How many hosts a walk passes, and how many if none has room and so many nodes or fewer share them. Each
 /// copy of a group costs, but less than to refuse while a host is idle. The first holds for probes too.
-const SPREAD: (u32, u32) = (3, 8);
+pub(crate) const SPREAD: (u32, u32) = (3, 8);
 /// A client that is back most likely left an overloaded host. A node that sees little does not know of it:
 /// with at most this chance it passes the home, and as likely each further host, for if all who left go to
 /// the next one it is overloaded too. Hurts where clients are back for another reason.
@@ -227,7 +227,13 @@
         xxh64(&host.to_le_bytes(), self.own) as f64 / u64::MAX as f64
     }
 
-    /// The same for this try alone.
+    /// Its place, residents before guests. Not where nodes see little: where most are guests all would go.
+    fn turn(&self, host: HostId, home: bool, little: bool) -> f64 {
+        let (half, guest) = if little { (1.0, 0.0) } else { (0.5, if home { 0.0 } else { 0.5 }) };
+        self.place(host) * half + guest
+    }
+
+    /// Its place for this try alone.
     fn draw(&self, host: HostId) -> f64 {
         xxh64(&host.to_le_bytes(), self.own ^ self.deadline) as f64 / u64::MAX as f64
     }
@@ -735,8 +741,8 @@
         let part = if self.over_share(c) { OVER_SHARE.1 } else { 1.0 };
         // Nodes that see little fill hosts by size only if each lets in so many of its clients. By the
         // square: a host pays the same for a group or a heavy connection whatever its size.
-        let sizes = self.ready().map(|h| self.size_of(h)).filter(|_| self.little());
-        let largest = sizes.fold(0.0, f64::max);
+        let little = self.little();
+        let largest = self.ready().filter(|_| little).map(|h| self.size_of(h)).fold(0.0, f64::max);
         let (mut ejected, mut spare, mut home, mut full, mut passed) = (None, None, None, 0, 0);
         for id in self.walk(c.point) {
             let Some(h) = self.hosts.get(&id) else { continue };
@@ -752,7 +758,7 @@
             let load = self.load_in(&h.book) + if joins { self.group_cost() * mean } else { 0.0 };
             let small = c.place(!id).sqrt() * largest >= self.size_of(h);
             let astray = passed < c.astray && h.ceiling.0.is_infinite();
-            let fits = load + self.turn(c, id, home) * self.load(c) < part * self.ceiling(now, h);
+            let fits = load + c.turn(id, home, little) * self.load(c) < part * self.ceiling(now, h);
             let busy = c.probes > 0 && h.fresh(now) && h.load > BUSY.0;
             if fits && !small && !astray && !busy && load < share * self.size_of(h) + SLACK * mean {
                 return Some(id);
@@ -771,13 +777,6 @@
         spare.or(ejected.filter(|_| 2 * out() > self.ready().count()))
     }
 
-    /// The client's place there, residents before guests. Not where nodes see little: each holds one, and
-    /// where most are guests all would leave at the same time.
-    fn turn(&self, c: &Call, host: HostId, home: bool) -> f64 {
-        let (half, guest) = if self.little() { (1.0, 0.0) } else { (0.5, if home { 0.0 } else { 0.5 }) };
-        c.place(host) * half + guest
-    }
-
     fn over_share(&self, c: &Call) -> bool {
         let Some((t, tenant)) = c.tenant.and_then(|t| Some((t, self.settings.tenants.get(t)?))) else {
             return false;
@@ -911,7 +910,8 @@
         for (_, _, weight, call) in list {
             let Some((h, c)) = self.hosts.get(&id).zip(self.calls.get(&call)) else { continue };
             let home = self.walk(c.point).next() == Some(id);
-            let fits = self.load_in(&h.book) - (1.0 - self.turn(c, id, home)) * weight < self.ceiling(now, h);
+            let fits = self.load_in(&h.book) - (1.0 - c.turn(id, home, self.little())) * weight
+                < self.ceiling(now, h);
             let again =
                 Call { sends: 0, deadline: Micros::MAX, tried: vec![id], maybe_ran: None, ..c.clone() };
             let to = if fits { None } else { self.choose(now, &again) };
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -28,8 +28,6 @@
 const ANSWER_AHEAD: Micros = 15_000;
 /// News of slow messages comes once a second and instance, as the module's event means it.
 const SLOW_EVERY: Micros = 1_000_000;
-/// Above so many balancers each holds so little that a figure may be the only one it has of an instance.
-const MANY: u32 = 8;
 /// A load is told with `UP`: a figure that comes later than this after it is no opening one. At an instance that
 /// is overloaded the first that comes may be a time, for a connection that is idle tells no load.
 const OPENING: Micros = 50_000;
@@ -274,7 +272,7 @@
         let (orders, ordered) = unbounded_channel();
         let broker = Broker {
             delays_told: settings.delays_told,
-            many: settings.peers_total > MANY,
+            many: settings.peers_total > crate::brain::SPREAD.1,
             longest: settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0),
             turn_at: Cell::new(Micros::MAX),
             sooner: Notify::new(),
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -102,10 +102,10 @@
             for line in held[..whole].split(|&b| b == b'\n').map(trimmed).filter(|line| !line.is_empty()) {
                 let listing = listing(line)?;
                 // Versions only grow: an older one, of a copy that lags behind, would open what drains again.
-                let held = broker.list_version();
-                if listing.index < held {
+                let newest = broker.list_version();
+                if listing.index < newest {
                     let index = listing.index;
-                    tracing::warn!("discovery: version {index} of the list came after {held}: passed over");
+                    tracing::warn!("discovery: version {index} of the list came after {newest}: passed over");
                     continue;
                 }
                 let kind = if listing.snapshot { ListKind::Full } else { ListKind::Changes };
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -314,10 +314,10 @@
     );
 }
 
-/// Nodes that see little and know loads and sizes: what they send together to each cold host of these sizes, within
-/// the rule's span at the most and in all, in parts of what the rule allows over that time. A wave of returning
+/// Nodes that see little and know loads and sizes: what they send together to cold hosts of these sizes in
+/// each of the rule's spans, in parts of what it allows over that time. A wave of returning
 /// clients reaches all at once after a long quiet; then they come at unequal rates.
-fn sent_by_size(nodes: u32, seed: u64) -> (Vec<f64>, f64) {
+fn sent_by_size(nodes: u32, seed: u64) -> Vec<f64> {
     let (mut s, load, life) = (settings(), 40e3, 45.0);
     (s.peers_total, s.weighted, s.rules.fall_time) = (nodes, true, 1_500 * MS);
     let (start, span, end) = (60 * S, s.rules.fall_time, 8 * S);
@@ -362,15 +362,15 @@
             cold.iter().fold((0.0, 0.0), |(a, b), &h| (a + within(h, from, to), b + may(h, from, span)));
         sums.0 / sums.1
     });
-    (windows.collect(), at_cold.len() as f64)
+    windows.collect()
 }
 
 #[test]
 fn nodes_that_see_little_use_a_cold_hosts_budget_and_keep_it_in_a_wave() {
     for nodes in [12, 100, 200] {
-        let days: Vec<(Vec<f64>, f64)> = (0..20).map(|seed| sent_by_size(nodes, seed)).collect();
-        for i in 0..days[0].0.len() {
-            let part = days.iter().map(|(windows, _)| windows[i]).sum::<f64>() / days.len() as f64;
+        let days: Vec<Vec<f64>> = (0..20).map(|seed| sent_by_size(nodes, seed)).collect();
+        for i in 0..days[0].len() {
+            let part = days.iter().map(|windows| windows[i]).sum::<f64>() / days.len() as f64;
             assert!(part < 1.0, "{nodes} nodes, span {i}: {part} of the rule");
             assert!(
                 nodes < 100 || part > 0.1,
