Give operators a door with HEALTH, LEAVE and JOIN, and a drain that moves all who stand

The change: src/broker/drain.rs (pure: serving, draining, leaving; one pacer, also for SIGTERM, whose own loop is gone), broker::Operations, src/net/admin.rs with a lobby of its own and tasks that the main future polls first. PING is answered NO while draining.

--- a/src/broker/core.rs
+++ b/src/broker/core.rs
@@ -224,6 +224,13 @@
         }
     }
 
+    /// Moves are made for another cause: rebalancing rests.
+    pub fn rests(&mut self, now: Micros, cause: &'static str) {
+        if let Some(rebalance) = &mut self.rebalance {
+            rebalance.trouble(now, cause);
+        }
+    }
+
     /// What the rebalancer has to tell.
     pub fn notes(&mut self) -> Vec<Note> {
         self.rebalance.as_mut().map(Rebalance::notes).unwrap_or_default()
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -6,7 +6,9 @@
 
 pub mod core;
 pub mod deadlines;
+pub mod drain;
 pub mod instances;
+pub mod operations;
 
 use crate::api::*;
 use crate::contracts::{Change, Contracts, Terms};
@@ -14,6 +16,7 @@
 use crate::wire::Names;
 use core::Core;
 use deadlines::{Clock, Deadlines, Wait};
+use drain::Drain;
 use instances::{Instances, Listing};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
@@ -259,6 +262,9 @@
     must_ask_in: Option<Micros>,
     orders: UnboundedSender<Order>,
     descriptors: Cell<usize>,
+    drain: RefCell<Drain>,
+    /// Says that moves of a drain are to be looked at.
+    drains: Notify,
 }
 
 impl Broker {
@@ -285,6 +291,8 @@
             names,
             orders,
             descriptors: Cell::new(descriptors),
+            drain: RefCell::default(),
+            drains: Notify::new(),
         };
         Ok((Rc::new(broker), ordered))
     }
@@ -534,23 +542,29 @@
         Some(Execution { instance, name, address, until, broker: self.clone() })
     }
 
-    /// Asks every service client to come again, evenly over this time, and those that are set up meanwhile
-    /// too: the program is about to end.
-    pub async fn leave(self: &Rc<Self>, from: Micros, end: Micros) -> ! {
-        // One cause of moves at a time, and this is the last.
-        self.rebalance(None);
-        self.until(from).await;
-        let mut due = 0.0;
+    /// Whether the front is told to send clients.
+    pub fn invites(&self) -> bool {
+        self.drain.borrow().invites()
+    }
+
+    /// The program is to end: every service client is asked to come again between these times.
+    pub fn leave(&self, from: Micros, end: Micros) {
+        self.drain.borrow_mut().leave(from, end);
+        self.drains.notify_one();
+    }
+
+    /// Asks service clients to come again while this balancer drains or leaves, for ever. Rebalancing rests
+    /// meanwhile: one cause of moves at a time.
+    pub async fn keep_drain(&self) -> ! {
         loop {
+            if self.drain.borrow().serves() {
+                self.drains.notified().await;
+            }
             self.after(TURN).await;
-            let turns = end.saturating_sub(self.now()) / TURN;
             let state = &mut *self.state.borrow_mut();
-            let standing = state.standing.len();
-            // Evenly while there is time; past the end, whoever is set up still goes at once.
-            due = if standing == 0 { 0.0 } else { due + standing as f64 / turns.max(1) as f64 };
-            let now = (due as usize).min(standing);
-            due -= now as f64;
-            for call in state.standing.drain(..now) {
+            state.core.rests(self.now(), "the balancer drains");
+            let moves = self.drain.borrow_mut().moves(self.now(), state.standing.len());
+            for call in state.standing.drain(..moves) {
                 if let Some(command) = state.commands.get(&call) {
                     let _ = command.send(Word::Move);
                 }
--- /dev/null
+++ b/src/broker/operations.rs
@@ -0,0 +1,37 @@
+//! What operators may ask of a running balancer, whatever door they come through.
+
+use super::drain::Leaving;
+use super::Broker;
+use std::rc::Rc;
+
+/// The broker as operators see it.
+#[derive(Clone)]
+pub struct Operations(Rc<Broker>);
+
+impl Operations {
+    /// That of this broker.
+    pub fn new(broker: Rc<Broker>) -> Operations {
+        Operations(broker)
+    }
+
+    /// Whether this process is ready to serve.
+    pub fn ready(&self) -> bool {
+        self.0.drain.borrow().serves()
+    }
+
+    /// Takes it out: new clients are not wanted, and those that stand are asked to come again.
+    pub fn leave(&self) {
+        if self.0.drain.borrow_mut().drain(self.0.now()) {
+            tracing::info!("draining: {} connections are asked to come again", self.0.in_hand());
+            self.0.drains.notify_one();
+        }
+    }
+
+    /// Takes it back to work; not once the program is to end.
+    pub fn join(&self) -> Result<(), Leaving> {
+        if self.0.drain.borrow_mut().join()? {
+            tracing::info!("back to work with {} connections in hand", self.0.in_hand());
+        }
+        Ok(())
+    }
+}
--- a/src/config.rs
+++ b/src/config.rs
@@ -17,6 +17,8 @@
     pub name: String,
     /// Where clients connect.
     pub listen: SocketAddr,
+    /// Where operators call; nobody does where this is not said.
+    pub admin: Option<String>,
     /// Where discovery is.
     pub discovery: SocketAddr,
     /// Seed for random numbers, in hex.
@@ -60,6 +62,17 @@
         })
     }
 
+    /// Where operators call: as the configuration says, else as `LB_ADMIN` does.
+    pub fn admin(&self, variable: Option<String>) -> Result<Option<SocketAddr>, String> {
+        let told = [("admin", self.admin.clone()), ("LB_ADMIN", variable)];
+        let mut told =
+            told.into_iter().filter_map(|(key, text)| Some((key, text.filter(|t| !t.is_empty())?)));
+        let Some((key, text)) = told.next() else { return Ok(None) };
+        let wrong =
+            |_| format!("{key}: {text:?} is no address: give one like 10.0.0.4:3001, or leave it out");
+        text.parse().map(Some).map_err(wrong)
+    }
+
     /// The names of what differs in the text of another configuration, discovery's address left out: all that
     /// a running balancer can take over. The list that a start begins from and the seed are meant for a start.
     pub fn ignored(before: &str, now: &str) -> Vec<String> {
--- /dev/null
+++ b/src/net/admin.rs
@@ -0,0 +1,131 @@
+//! The operators' door: one line in, one answer, the end. It has a lobby of its own, so whoever sits there and says
+//! nothing takes nothing from clients, and leaves when another wants the seat.
+
+use super::buffer::trimmed;
+use super::links::Link;
+use super::lobby::Lobby;
+use super::relay;
+use crate::api::Micros;
+use crate::broker::operations::Operations;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use tokio::net::TcpStream;
+use winnow::combinator::{alt, eof, terminated};
+use winnow::{ModalResult, Parser};
+
+/// Connections that the door holds at most.
+pub const SEATS: usize = 24;
+/// Callers may be silent for seconds and ask then; a whole call is answered at once.
+const PATIENCE: Micros = 10_000_000;
+
+/// What can be asked.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Call {
+    /// Whether this process is ready to serve.
+    Health,
+    /// Drain.
+    Leave,
+    /// Back to work.
+    Join,
+}
+
+fn call(input: &mut &[u8]) -> ModalResult<Call> {
+    let words = alt(("HEALTH".value(Call::Health), "LEAVE".value(Call::Leave), "JOIN".value(Call::Join)));
+    terminated(words, eof).parse_next(input)
+}
+
+impl Call {
+    /// Reads a line without its end.
+    pub fn parse(line: &[u8]) -> Option<Call> {
+        call.parse(line).ok()
+    }
+}
+
+/// The door.
+pub struct Door {
+    operations: Operations,
+    lobby: Rc<Lobby>,
+}
+
+impl Door {
+    /// A door to these operations, with seats of its own.
+    pub fn new(operations: Operations, lobby: Rc<Lobby>) -> Rc<Door> {
+        Rc::new(Door { operations, lobby })
+    }
+
+    fn answer(&self, call: Option<Call>) -> String {
+        match call {
+            Some(Call::Health) if self.operations.ready() => "200 ready\r\n".into(),
+            Some(Call::Health) => "400 not ready\r\n".into(),
+            Some(Call::Leave) => {
+                self.operations.leave();
+                "200 draining\r\n".into()
+            }
+            Some(Call::Join) => match self.operations.join() {
+                Ok(()) => "200 ready\r\n".into(),
+                Err(_) => "400 the program is ending\r\n".into(),
+            },
+            None => "400 unknown call: HEALTH, LEAVE or JOIN\r\n".into(),
+        }
+    }
+}
+
+/// Serves one caller from its line to its end.
+pub async fn serve(door: Rc<Door>, stream: TcpStream, from: SocketAddr) {
+    let mut link = Link::new(stream);
+    let answer = {
+        let seat = door.lobby.seat();
+        let line = tokio::select! {
+            biased;
+            line = link.line() => line,
+            _ = seat.over(door.lobby.broker().now() + PATIENCE) => return,
+        };
+        let call = match line {
+            // One line a connection: whoever sends more has not understood it, and nothing is done.
+            Ok(n) if n == link.buffer.data().len() => Call::parse(trimmed(link.buffer.data())),
+            Ok(_) => None,
+            Err(_) if link.buffer.data().is_empty() => return,
+            Err(_) => None,
+        };
+        if call.is_none() {
+            tracing::warn!("operator {from}: no call that is known");
+        }
+        door.answer(call)
+    };
+    let written = async {
+        if link.write(answer.as_bytes()).await.is_ok() {
+            relay::close(&door.lobby, &mut link).await;
+        }
+    };
+    tokio::select! {
+        () = written => {}
+        () = door.lobby.broker().after(PATIENCE) => {}
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    #[test]
+    fn the_words_are_read_and_nothing_else() {
+        assert_eq!(Call::parse(b"HEALTH"), Some(Call::Health));
+        assert_eq!(Call::parse(b"LEAVE"), Some(Call::Leave));
+        assert_eq!(Call::parse(b"JOIN"), Some(Call::Join));
+        for bad in
+            [&b""[..], b"health", b"HEALTH ", b" HEALTH", b"HEALTHY", b"\xff\xfe", b"LEAVE JOIN", b"\0"]
+        {
+            assert_eq!(Call::parse(bad), None, "{bad:?}");
+        }
+    }
+
+    proptest! {
+        /// Guards against a panic, and against anything but the words themselves taking a balancer out.
+        #[test]
+        fn no_other_bytes_mean_anything(line in proptest::collection::vec(any::<u8>(), 0..40)) {
+            let known: [&[u8]; 3] = [b"HEALTH", b"LEAVE", b"JOIN"];
+            prop_assert_eq!(Call::parse(&line).is_some(), known.contains(&&line[..]));
+        }
+    }
+}
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -1,5 +1,6 @@
 //! The network round the core: the platform's lines, XMPP, discovery, and the links to instances.
 
+pub mod admin;
 pub mod buffer;
 pub mod discovery;
 pub mod links;
--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -146,7 +146,8 @@
                 _ => First::Bad("ERR out of turn".into()),
             };
         }
-        if peer.link.write(b"PONG\r\n").await.is_err() {
+        let answer: &[u8] = if peer.broker.invites() { b"PONG\r\n" } else { b"NO\r\n" };
+        if peer.link.write(answer).await.is_err() {
             return First::Nothing;
         }
         until = peer.broker.now() + if peer.link.buffer.data().is_empty() { IDLE } else { FIRST };
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -2,10 +2,12 @@
 //! first, what a signal changes, when clients are asked to leave.
 
 use crate::api::ListKind;
+use crate::broker::operations::Operations;
 use crate::broker::Broker;
 use crate::config::Config;
 use crate::contracts::ledger::Reason;
 use crate::net;
+use crate::net::admin::{self, Door};
 use crate::net::lobby::Lobby;
 use crate::net::xmpp::Front;
 use crate::operator::Operator;
@@ -14,11 +16,11 @@
 use std::time::{SystemTime, UNIX_EPOCH};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
-use tokio::task::spawn_local;
+use tokio::task::{spawn_local, LocalSet};
 
 /// Descriptors that are kept for other things than connections: the listeners, discovery, the runtime's own,
 /// and connections of the lobby that are about to end.
-const RESERVED: usize = 32;
+const RESERVED: usize = 32 + admin::SEATS;
 /// Of the rest, this part are seats of the lobby, so that those who ask nothing never take from those who do.
 const LOBBY: usize = 5;
 /// SIGKILL comes no sooner after SIGTERM than the longest deadline, taken for this where it is longer, and some
@@ -27,6 +29,8 @@
 /// From when on in that time clients are asked to come again, in tenths: in a rolling restart the balancer before
 /// this one needs seconds to be let in again, and until then a client that was sent away has nowhere to go.
 const FROM: u64 = 6;
+/// Who has not left by the end is waited for so long more.
+const OVERTIME: u64 = 2_000_000;
 /// The target of the account's records.
 pub const ACCOUNT: &str = "oakdeal::account";
 
@@ -65,6 +69,9 @@
     operator.warnings.iter().for_each(|w| tracing::warn!("{w}"));
     let (settings, names) = config.settings.translate().map_err(|e| e.to_string())?;
     let seed = config.seed();
+    let admin = config
+        .admin(std::env::var("LB_ADMIN").ok())
+        .map_err(|e| sources.config.display().to_string() + ": " + &e)?;
     let descriptors = config.limits.sockets.saturating_sub(RESERVED);
     let seats = descriptors / LOBBY;
     let (broker, ordered) =
@@ -87,6 +94,8 @@
     }
     let keeper = broker.clone();
     spawn_local(async move { keeper.keep_contracts().await });
+    let keeper = broker.clone();
+    spawn_local(async move { keeper.keep_drain().await });
     let guests = lobby.clone();
     let serve = move |stream, from| net::platform::serve(guests.clone(), stream, from);
     spawn_local(net::accept(broker.clone(), listener, "clients", serve));
@@ -102,6 +111,20 @@
         tracing::info!("{} serves XMPP on {at}", config.name);
     }
 
+    // Polled by the program's main future, so before all connections in each turn of the loop.
+    let door = LocalSet::new();
+    if let Some(address) = admin {
+        let listener = TcpListener::bind(address)
+            .await
+            .map_err(|e| format!("admin: cannot listen on {address}: {e}; give an address that is free"))?;
+        let at = listener.local_addr().map_err(|e| e.to_string())?;
+        let lobby = Lobby::new(broker.clone(), admin::SEATS);
+        let inside = Door::new(Operations::new(broker.clone()), lobby);
+        let serve = move |stream, from| admin::serve(inside.clone(), stream, from);
+        door.spawn_local(net::accept(broker.clone(), listener, "operators", serve));
+        tracing::info!("{} answers operators on {at}", config.name);
+    }
+
     let clerk = Clerk { broker: broker.clone(), balancer: config.name.clone(), started: unix_ms() };
     let every = std::cell::Cell::new(operator.every);
     let reloads = async {
@@ -120,7 +143,13 @@
         leave(&broker).await;
         clerk.write();
     };
+    let door = async {
+        door.await;
+        std::future::pending().await
+    };
     tokio::select! {
+        biased;
+        () = door => {}
         () = ends => {}
         // They end only with the runtime.
         () = reloads => {}
@@ -238,16 +267,10 @@
     let span = broker.longest().min(LONGEST_END);
     let (from, end) = (broker.now() + span * FROM / 10, broker.now() + span);
     tracing::info!("leaving: {} connections are asked to come again", broker.in_hand());
-    let emptied = async {
-        broker.until(end).await;
-        while broker.in_hand() > 0 {
-            broker.after(20_000).await;
-        }
-    };
-    tokio::select! {
-        () = emptied => {}
-        () = broker.until(end + 2_000_000) => {}
-        _ = broker.leave(from, end) => {}
+    broker.leave(from, end);
+    broker.until(end).await;
+    while broker.in_hand() > 0 && broker.now() < end + OVERTIME {
+        broker.after(20_000).await;
     }
     tracing::info!("left with {} connections in hand", broker.in_hand());
 }
--- /dev/null
+++ b/tests/operations.rs
@@ -0,0 +1,159 @@
+//! Stories of daily operation: the door for operators and what can be asked there. The program itself between
+//! scripted peers on loopback sockets.
+
+mod peers;
+use peers::*;
+use std::net::{Shutdown, SocketAddr, TcpStream};
+use std::sync::mpsc::channel;
+use std::time::{Duration, Instant};
+
+fn echoing() -> Vec<String> {
+    let (told, _) = channel();
+    vec![entry("s-00000001", echo("a", told), "ready")]
+}
+
+fn stand(balancer: &Balancer, id: &str) -> Lines {
+    let mut client = balancer.client();
+    assert_eq!(client.say(&format!("OPEN {id} 2 c=watch,d=2000\r\n")).hear(), "UP 1");
+    client
+}
+
+/// Guards against a drain that holds a client, refuses one that arrives in its first moments, or cannot be taken
+/// back; and against words out of their turn doing harm.
+#[test]
+fn a_drain_says_no_moves_all_who_stand_serves_who_comes_and_join_ends_it() {
+    let balancer = Balancer::operated(&Discovery::quiet(), &echoing(), None);
+    assert_eq!(balancer.call("JOIN\r\n"), "200 ready\r\n", "without LEAVE it changes nothing");
+    let mut kept = balancer.client();
+    assert_eq!(kept.say("PING\r\n").hear(), "PONG");
+    let mut standing: Vec<Lines> = (0..50).map(|i| stand(&balancer, &format!("old-{i}"))).collect();
+    for _ in 0..2 {
+        assert_eq!(balancer.call("LEAVE\r\n"), "200 draining\r\n");
+    }
+    assert!(balancer.call("HEALTH\r\n").starts_with("400 "));
+    assert_eq!(kept.say("PING\r\n").hear(), "NO");
+    assert_eq!(balancer.client().say("PING\r\n").hear(), "NO");
+    standing.push(stand(&balancer, "late"));
+    assert_eq!(kept.say("OPEN kept 2 c=watch,d=2000\r\n").hear(), "UP 1");
+    standing.push(kept);
+    let moved = |clients: &mut [Lines]| {
+        for client in clients {
+            assert_eq!((client.hear().as_str(), client.hear().as_str()), ("MOVE", "END"));
+        }
+    };
+    // Somebody comes back in the middle of it: who was not asked by then stays.
+    moved(&mut standing[..10]);
+    assert_eq!(balancer.call("JOIN\r\n"), "200 ready\r\n");
+    assert_eq!(balancer.call("HEALTH\r\n"), "200 ready\r\n");
+    assert_eq!(balancer.client().say("PING\r\n").hear(), "PONG");
+    let last = standing.last_mut().unwrap();
+    assert_eq!(last.say("still here\r\n").hear(), "still here");
+    assert_eq!(balancer.call("LEAVE\r\n"), "200 draining\r\n");
+    moved(&mut standing[10..]);
+    // One who comes when all should be gone is moved at once.
+    let begun = Instant::now();
+    moved(&mut [stand(&balancer, "last")]);
+    assert!(begun.elapsed() < Duration::from_secs(1), "{:?}", begun.elapsed());
+    assert_eq!(balancer.call("JOIN\r\n"), "200 ready\r\n");
+    assert_eq!(stand(&balancer, "new").say("served\r\n").hear(), "served");
+}
+
+/// Guards against a program that comes back from SIGTERM, or that holds longer whom a drain had to move.
+#[test]
+fn sigterm_in_mid_drain_ends_it_in_time_and_join_is_refused() {
+    let mut balancer = Balancer::operated(&Discovery::quiet(), &echoing(), None);
+    let mut standing: Vec<Lines> = (0..20).map(|i| stand(&balancer, &format!("{i}"))).collect();
+    balancer.call("LEAVE\r\n");
+    balancer.terminate();
+    balancer.logged("leaving");
+    assert!(balancer.call("JOIN\r\n").starts_with("400 "));
+    assert!(balancer.call("HEALTH\r\n").starts_with("400 "));
+    assert_eq!(balancer.call("LEAVE\r\n"), "200 draining\r\n");
+    for client in &mut standing {
+        assert_eq!((client.hear().as_str(), client.hear().as_str()), ("MOVE", "END"));
+    }
+    balancer.logged("left with 0 connections in hand");
+    while balancer.runs() {
+        std::thread::yield_now();
+    }
+}
+
+/// Guards against bad input that is obeyed, unanswered, or costs others anything.
+#[test]
+fn bad_calls_get_400_and_nothing_more() {
+    let mut balancer = Balancer::operated(&Discovery::quiet(), &echoing(), None);
+    let door = balancer.admin.unwrap();
+    let long = format!("{}\r\n", "H".repeat(5000));
+    for bad in ["\r\n", "leave\r\n", "LEAVE now\r\n", " LEAVE\r\n", "LEAVE\r\nJOIN\r\n", "\u{1}\r\n", &long] {
+        let answer = balancer.call(bad);
+        assert!(answer.starts_with("400 ") && answer.lines().count() == 1, "{bad:.20?}: {answer:?}");
+    }
+    let mut bytes = Lines::to(door);
+    std::io::Write::write_all(&mut bytes.stream, b"\xff\xfe\r\n").unwrap();
+    assert!(bytes.rest().starts_with("400 "));
+    // Half a line and its end, an end without a line, and half a line a byte at a time.
+    let mut half = Lines::to(door);
+    half.say("LEA").stream.shutdown(Shutdown::Write).unwrap();
+    assert!(half.rest().starts_with("400 "));
+    let mut none = Lines::to(door);
+    none.stream.shutdown(Shutdown::Write).unwrap();
+    assert_eq!(none.rest(), "");
+    let mut slow = Lines::to(door);
+    "HEALTH\r\n".chars().for_each(|c| {
+        slow.say(&c.to_string());
+    });
+    assert_eq!(slow.rest(), "200 ready\r\n", "nothing of all this took it out");
+    assert!(balancer.runs());
+}
+
+/// Guards against silent callers who shut the door for others, or take what clients need.
+#[test]
+fn a_thousand_silent_callers_and_a_full_lobby_keep_nobody_out() {
+    let balancer = Balancer::operated(&Discovery::quiet(), &echoing(), None);
+    let to = |address: SocketAddr, text: &'static str| {
+        move |_| {
+            let mut silent = Lines::to(address);
+            silent.say(text);
+            silent
+        }
+    };
+    let mut all: Vec<Lines> = (0..1000).map(to(balancer.admin.unwrap(), "HEAL")).collect();
+    all.extend((0..300).map(to(balancer.lines, "OPEN half")));
+    for i in 0..50 {
+        let begun = Instant::now();
+        assert_eq!(balancer.call("HEALTH\r\n"), "200 ready\r\n");
+        assert!(begun.elapsed() < Duration::from_secs(1), "{:?}", begun.elapsed());
+        stand(&balancer, &format!("{i}"));
+    }
+    // Who sat longest was told so and had to go.
+    assert!(all[0].rest().starts_with("BUSY") || all[0].rest().is_empty());
+}
+
+/// Guards against a door that is somewhere else than said, and one that opens though nobody asked for it.
+#[test]
+fn an_address_that_is_none_or_taken_is_said_at_the_start() {
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let discovery = Discovery::quiet();
+    for (address, message) in [
+        ("somewhere".to_string(), "LB_ADMIN: \"somewhere\" is no address"),
+        (taken.local_addr().unwrap().to_string(), "admin: cannot listen on"),
+    ] {
+        let dir = std::env::temp_dir().join(format!("oakdeal-{}-{}", std::process::id(), address.len()));
+        std::fs::create_dir_all(&dir).unwrap();
+        let config = dir.join("config.json");
+        let list = listing(1, &echoing());
+        let text = format!(
+            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{}","known":{list},"settings":{SETTINGS}}}"#,
+            discovery.address
+        );
+        std::fs::write(&config, text).unwrap();
+        let mut program = std::process::Command::new(env!("CARGO_BIN_EXE_oakdeal"));
+        let out = program.env("LB_CONFIG", &config).env("LB_ADMIN", &address).output().unwrap();
+        let error = String::from_utf8_lossy(&out.stderr).into_owned();
+        assert!(out.status.code() == Some(1) && error.contains(message), "{error}");
+        std::fs::remove_dir_all(dir).unwrap();
+    }
+    let balancer = Balancer::start(&discovery, &echoing(), None);
+    assert!(TcpStream::connect(balancer.lines).is_ok());
+    assert!(balancer.finish().iter().all(|line| !line.contains("operators")));
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -179,6 +179,8 @@
     child: Child,
     pub lines: SocketAddr,
     pub xmpp: Option<SocketAddr>,
+    /// The operators' door, where it was started with one.
+    pub admin: Option<SocketAddr>,
     log: Receiver<String>,
     dir: std::path::PathBuf,
 }
@@ -208,6 +210,22 @@
         Balancer::of(program, discovery, known, operator, settings, log_format, |_| ())
     }
 
+    /// One with a door for operators.
+    pub fn operated(discovery: &Discovery, known: &[String], operator: Option<&str>) -> Balancer {
+        let program = std::path::Path::new(env!("CARGO_BIN_EXE_oakdeal"));
+        let door = |command: &mut Command| {
+            command.env("LB_ADMIN", "127.0.0.1:0");
+        };
+        let mut balancer = Balancer::of(program, discovery, known, operator, SETTINGS, "text", door);
+        balancer.admin = Some(balancer.address("n0 answers operators on "));
+        balancer
+    }
+
+    /// Says a line at the operators' door; all that it answers.
+    pub fn call(&self, line: &str) -> String {
+        Lines::to(self.admin.unwrap()).say(line).rest()
+    }
+
     /// Another build of it, or one that is started in another way.
     pub fn of(
         program: &std::path::Path,
@@ -239,7 +257,7 @@
         let (told, log) = channel();
         let stderr = BufReader::new(child.stderr.take().unwrap());
         thread::spawn(move || stderr.lines().map_while(Result::ok).try_for_each(|line| told.send(line)));
-        let mut balancer = Balancer { child, lines: nobody(), xmpp: None, log, dir };
+        let mut balancer = Balancer { child, lines: nobody(), xmpp: None, admin: None, log, dir };
         balancer.lines = balancer.address("n0 serves ");
         if operator.is_some_and(|text| text.contains("[xmpp]")) {
             balancer.xmpp = Some(balancer.address("n0 serves XMPP on "));
