Count what every command came to, and tell it by DUMP with the gauges

The change: src/broker/figures.rs, one tally a command, ended where it ends in carry; attempts counted by the fronts after the last byte; members avoided from the module's own view. Unknown calls are logged with what was said.

--- a/src/broker/core.rs
+++ b/src/broker/core.rs
@@ -278,6 +278,11 @@
         self.contracts.as_ref()
     }
 
+    /// How many instances may be sent something new, as the module sees them.
+    pub fn takes(&self, now: Micros) -> usize {
+        self.brain.hosts(now).iter().filter(|host| host.takes).count()
+    }
+
     /// Whether this id is in hand already.
     pub fn knows(&self, call: &str) -> bool {
         self.books.contains_key(call)
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -7,6 +7,7 @@
 pub mod core;
 pub mod deadlines;
 pub mod drain;
+pub mod figures;
 pub mod instances;
 pub mod operations;
 
@@ -17,6 +18,7 @@
 use core::Core;
 use deadlines::{Clock, Deadlines, Wait};
 use drain::Drain;
+use figures::{End, Figures, Members, Tally};
 use instances::{Instances, Listing};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
@@ -101,6 +103,7 @@
     pub address: SocketAddr,
     /// When it is given up.
     pub until: Micros,
+    tally: Rc<Tally>,
     broker: Rc<Broker>,
 }
 
@@ -111,6 +114,11 @@
         self.broker.state.borrow().instances.takes(self.instance)
     }
 
+    /// Its first words were written whole: from now on it may run.
+    pub fn written(&self) {
+        self.tally.attempt();
+    }
+
     /// What is left of its time.
     pub fn left(&self) -> Micros {
         self.until.saturating_sub(self.broker.now())
@@ -150,9 +158,13 @@
     C: Client,
     D: Dialer<Link = C::Link>,
 {
+    let tally = broker.tally(demand.class);
     let mut command = match broker.take(demand, team) {
         Ok(command) => command,
-        Err(Refused(after)) => return client.nack(after).await,
+        Err(Refused(after)) => {
+            tally.ends(End::Rejected);
+            return client.nack(after).await;
+        }
     };
     let link = loop {
         // The module's next word: it may be waiting for a probe.
@@ -163,11 +175,17 @@
         };
         let (instance, patience) = match word {
             Word::Execute { instance, patience } => (instance, patience),
-            Word::Nack(after) => return client.nack(after).await,
-            Word::Fail => return client.fail(command.failure()).await,
+            Word::Nack(after) => {
+                tally.ends(End::Rejected);
+                return client.nack(after).await;
+            }
+            Word::Fail => {
+                tally.ends(End::Failed);
+                return client.fail(command.failure()).await;
+            }
             Word::Move => continue,
         };
-        let Some(execution) = command.begin(instance, patience) else { continue };
+        let Some(execution) = command.begin(instance, patience, &tally) else { continue };
         let came = tokio::select! {
             biased;
             came = dialer.execute(&execution) => came,
@@ -181,6 +199,7 @@
         }
     };
     command.opened();
+    tally.ends(End::Completed);
     let ended = client.stand(link, &mut command).await;
     command.ended(ended);
 }
@@ -198,11 +217,15 @@
     C: Client,
     D: Dialer<Link = C::Link>,
 {
-    let Some(_both) = broker.descriptors(CONNECTION) else { return client.nack(None).await };
+    let tally = broker.tally(demand.class);
+    let Some(_both) = broker.descriptors(CONNECTION) else {
+        tally.ends(End::Rejected);
+        return client.nack(None).await;
+    };
     let until = broker.now().saturating_add(demand.left).saturating_sub(ANSWER_AHEAD);
     let link = loop {
         let tried = async {
-            let execution = broker.execution(instance, until)?;
+            let execution = broker.execution(instance, until, &tally)?;
             dialer.execute(&execution).await.ok()
         };
         let came = tokio::select! {
@@ -219,6 +242,7 @@
             return client.fail(Failure::Deadline).await;
         }
     };
+    tally.ends(End::Completed);
     let mut command = broker.adopt(demand, team, instance);
     let ended = client.stand(link, &mut command).await;
     command.ended(ended);
@@ -263,6 +287,7 @@
     orders: UnboundedSender<Order>,
     descriptors: Cell<usize>,
     drain: RefCell<Drain>,
+    figures: Rc<Figures>,
     /// Says that moves of a drain are to be looked at.
     drains: Notify,
 }
@@ -275,7 +300,7 @@
         seed: u64,
         descriptors: usize,
     ) -> Result<(Rc<Broker>, UnboundedReceiver<Order>), SettingsError> {
-        let (orders, ordered) = unbounded_channel();
+        let ((orders, ordered), classes) = (unbounded_channel(), settings.classes.len());
         let broker = Broker {
             delays_told: settings.delays_told,
             many: settings.peers_total > crate::brain::SPREAD.1,
@@ -292,6 +317,7 @@
             orders,
             descriptors: Cell::new(descriptors),
             drain: RefCell::default(),
+            figures: Figures::new(classes),
             drains: Notify::new(),
         };
         Ok((Rc::new(broker), ordered))
@@ -536,10 +562,21 @@
         self.state.borrow().core.contracts().map(show)
     }
 
-    fn execution(self: &Rc<Self>, instance: HostId, until: Micros) -> Option<Execution> {
+    /// Books a command of a class until this is dropped: one that is given no end by then has failed.
+    pub fn tally(&self, class: usize) -> Rc<Tally> {
+        Rc::new(self.figures.taken(class))
+    }
+
+    fn members(&self) -> Members {
+        let state = self.state.borrow();
+        let (listed, takes) = (state.instances.len(), state.core.takes(self.now()));
+        Members { listed, avoided: listed.saturating_sub(takes) }
+    }
+
+    fn execution(self: &Rc<Self>, instance: HostId, until: Micros, tally: &Rc<Tally>) -> Option<Execution> {
         let state = self.state.borrow();
         let (name, address) = state.instances.get(instance).map(|i| (i.name.clone(), i.address))?;
-        Some(Execution { instance, name, address, until, broker: self.clone() })
+        Some(Execution { instance, name, address, until, tally: tally.clone(), broker: self.clone() })
     }
 
     /// Whether the front is told to send clients.
@@ -646,12 +683,12 @@
     }
 
     /// The execution that the module asked for; none where the instance has left the list meanwhile.
-    fn begin(&mut self, instance: HostId, patience: Micros) -> Option<Execution> {
+    fn begin(&mut self, instance: HostId, patience: Micros, tally: &Rc<Tally>) -> Option<Execution> {
         let now = self.broker.now();
         self.out = Some((instance, now));
         self.executions += 1;
         let until = now.saturating_add(patience).min(self.deadline);
-        let execution = self.broker.execution(instance, until);
+        let execution = self.broker.execution(instance, until, tally);
         if execution.is_none() {
             self.finished(Outcome::Moot);
         }
--- a/src/broker/operations.rs
+++ b/src/broker/operations.rs
@@ -19,6 +19,11 @@
         self.0.drain.borrow().serves()
     }
 
+    /// All figures, a line each.
+    pub fn figures(&self) -> String {
+        self.0.figures.lines(self.0.names.classes(), self.0.members())
+    }
+
     /// Takes it out: new clients are not wanted, and those that stand are asked to come again.
     pub fn leave(&self) {
         if self.0.drain.borrow_mut().drain(self.0.now()) {
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -23,6 +23,8 @@
 pub enum Call {
     /// Whether this process is ready to serve.
     Health,
+    /// All figures.
+    Dump,
     /// Drain.
     Leave,
     /// Back to work.
@@ -30,7 +32,12 @@
 }
 
 fn call(input: &mut &[u8]) -> ModalResult<Call> {
-    let words = alt(("HEALTH".value(Call::Health), "LEAVE".value(Call::Leave), "JOIN".value(Call::Join)));
+    let words = alt((
+        "HEALTH".value(Call::Health),
+        "DUMP".value(Call::Dump),
+        "LEAVE".value(Call::Leave),
+        "JOIN".value(Call::Join),
+    ));
     terminated(words, eof).parse_next(input)
 }
 
@@ -57,6 +64,7 @@
         match call {
             Some(Call::Health) if self.operations.ready() => "200 ready\r\n".into(),
             Some(Call::Health) => "400 not ready\r\n".into(),
+            Some(Call::Dump) => format!("200 figures\r\n{}EOF\r\n", self.operations.figures()),
             Some(Call::Leave) => {
                 self.operations.leave();
                 "200 draining\r\n".into()
@@ -65,7 +73,7 @@
                 Ok(()) => "200 ready\r\n".into(),
                 Err(_) => "400 the program is ending\r\n".into(),
             },
-            None => "400 unknown call: HEALTH, LEAVE or JOIN\r\n".into(),
+            None => "400 unknown call: HEALTH, DUMP, LEAVE or JOIN\r\n".into(),
         }
     }
 }
@@ -88,7 +96,8 @@
             Err(_) => None,
         };
         if call.is_none() {
-            tracing::warn!("operator {from}: no call that is known");
+            let said = String::from_utf8_lossy(link.buffer.data()).into_owned();
+            tracing::warn!("operator {from}: no call that is known in {said:.40?}");
         }
         door.answer(call)
     };
@@ -111,6 +120,7 @@
     #[test]
     fn the_words_are_read_and_nothing_else() {
         assert_eq!(Call::parse(b"HEALTH"), Some(Call::Health));
+        assert_eq!(Call::parse(b"DUMP"), Some(Call::Dump));
         assert_eq!(Call::parse(b"LEAVE"), Some(Call::Leave));
         assert_eq!(Call::parse(b"JOIN"), Some(Call::Join));
         for bad in
@@ -124,7 +134,7 @@
         /// Guards against a panic, and against anything but the words themselves taking a balancer out.
         #[test]
         fn no_other_bytes_mean_anything(line in proptest::collection::vec(any::<u8>(), 0..40)) {
-            let known: [&[u8]; 3] = [b"HEALTH", b"LEAVE", b"JOIN"];
+            let known: [&[u8]; 4] = [b"HEALTH", b"DUMP", b"LEAVE", b"JOIN"];
             prop_assert_eq!(Call::parse(&line).is_some(), known.contains(&&line[..]));
         }
     }
--- a/src/net/links.rs
+++ b/src/net/links.rs
@@ -76,6 +76,7 @@
     let line = first();
     // It breaks before the line's last byte is written: it never ran.
     link.write(line.as_bytes()).await.map_err(|_| Outcome::ConnectFailed)?;
+    execution.written();
     let n = match link.line().await {
         Ok(n) => n,
         Err(e) if e.kind() == io::ErrorKind::InvalidData => {
--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -5,6 +5,7 @@
 use super::lobby::{Lobby, Over, FIRST};
 use super::relay;
 use crate::api::{Demand, Micros, Outcome};
+use crate::broker::figures::End;
 use crate::broker::instances::number;
 use crate::broker::{carry, carry_on, Broker, Client, Command, Dialer, Ended, Execution, Failure, Gone};
 use std::net::SocketAddr;
@@ -180,6 +181,7 @@
     let (demand, open) = read.map_err(|why| format!("ERR first line {why}"))?;
     // The module books by id: a second one under the same would answer for the first.
     if broker.knows(&demand.call.0) {
+        broker.tally(demand.class).ends(End::Failed);
         return Err("ERR id in use".into());
     }
     let dialer = Lines { open: &open, broker: &broker };
--- a/src/net/xmpp/mod.rs
+++ b/src/net/xmpp/mod.rs
@@ -362,6 +362,7 @@
             }
         }
         side.writer.write(&self.login.auth).await.map_err(|_| Outcome::Reset)?;
+        execution.written();
         loop {
             let (unit, answer) = side.reader.unit().await.map_err(meaning)?;
             match unit {
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -78,6 +78,88 @@
     }
 }
 
+/// Reads the figures until these lines are among them: what has just happened may be counted a moment later.
+fn figures(balancer: &Balancer, wanted: &[&str]) {
+    let until = Instant::now() + Duration::from_secs(10);
+    loop {
+        let text = balancer.call("DUMP\r\n");
+        assert!(text.starts_with("200 ") && text.ends_with("\r\nEOF\r\n"), "{text}");
+        let missing = wanted.iter().find(|line| !text.lines().any(|l| l == **line));
+        match missing {
+            None => return,
+            Some(line) => assert!(Instant::now() < until, "{line} is not in {text}"),
+        }
+    }
+}
+
+/// Guards against a figure that is reconstructed: each is what clients and instances saw themselves.
+#[test]
+fn figures_are_what_clients_and_instances_counted() {
+    let (told, heard) = channel();
+    let one = || {
+        let told = told.clone();
+        instance(move |mut peer| {
+            let first = peer.hear();
+            let _ = told.send(());
+            match first.split(' ').nth(1).unwrap().split('-').next().unwrap() {
+                "full" => peer.say("BUSY\r\n"),
+                "slow" => &mut peer,
+                _ => peer.say("UP 1\r\n"),
+            };
+            if first.contains("moved") {
+                peer.hear();
+                peer.say("MOVE\r\n");
+                return;
+            }
+            while !matches!(peer.hear().as_str(), "END" | "RESET") {}
+        })
+    };
+    let list = [entry("s-00000001", one(), "ready"), entry("s-00000002", one(), "ready")];
+    let discovery = Discovery::quiet();
+    let balancer = Balancer::operated(&discovery, &list, None);
+    figures(&balancer, &["lb.completed.watch:0|c", "lb.pending:0|g", "lb.members:2|g"]);
+    let ask = |id: &str| {
+        let mut client = balancer.client();
+        client.say(&format!("OPEN {id} 2 c=watch,d=2000\r\n"));
+        client
+    };
+    let standing: Vec<Lines> = (0..7).map(|i| ask(&format!("up-{i}"))).collect();
+    let mut moved = ask("moved-1");
+    assert_eq!(moved.hear(), "UP 1");
+    assert_eq!(moved.say("go\r\n").hear(), "MOVE");
+    // Refused after both were tried; one that speaks too early and one whose id is in use fail; and one leaves.
+    for i in 0..3 {
+        assert!(ask(&format!("full-{i}")).hear().starts_with("BUSY"));
+    }
+    let mut early = ask("slow-1");
+    (0..15).for_each(|_| heard.recv().unwrap());
+    assert_eq!(early.say("now\r\n").hear(), "ERR out of turn");
+    assert_eq!(ask("up-1").hear(), "ERR id in use");
+    drop(ask("slow-2"));
+    figures(
+        &balancer,
+        &[
+            "lb.completed.watch:8|c",
+            "lb.rejected.watch:3|c",
+            "lb.failed.watch:3|c",
+            "lb.pending:7|g",
+            "lb.members_unavailable:0|g",
+        ],
+    );
+    let sent = 7 + 1 + 2 * 3 + 1;
+    let text = balancer.call("DUMP\r\n");
+    let attempts = text.lines().find_map(|l| l.strip_prefix("lb.upstream_requests.watch:")).unwrap();
+    let attempts: usize = attempts.strip_suffix("|c").unwrap().parse().unwrap();
+    // Whoever left may have done so before it was sent anywhere.
+    assert!((sent..=sent + 1).contains(&attempts), "{attempts}, and instances heard {sent} or one more");
+    drop(standing);
+    discovery.called();
+    discovery.push(&listing(2, &[entry("s-00000001", nobody(), "draining")]));
+    figures(&balancer, &["lb.pending:0|g", "lb.members:2|g", "lb.members_unavailable:1|g"]);
+    discovery.push(&listing(3, &[entry("s-00000001", nobody(), "gone")]));
+    figures(&balancer, &["lb.members:1|g", "lb.members_unavailable:0|g", "lb.completed.watch:8|c"]);
+}
+
 /// Guards against bad input that is obeyed, unanswered, or costs others anything.
 #[test]
 fn bad_calls_get_400_and_nothing_more() {
--- a/tests/xmpp.rs
+++ b/tests/xmpp.rs
@@ -82,6 +82,35 @@
     client
 }
 
+/// Guards against a front whose commands are not counted, or twice.
+#[test]
+fn figures_count_xmpp_like_text() {
+    let (told, _) = channel();
+    let a = server("a", SUCCESS, told.clone());
+    let full = server("full", &(failure("temporary-auth-failure") + "</stream:stream>"), told);
+    let count = |at: SocketAddr, users: usize| {
+        let name = "s-00000001";
+        let list = [entry(name, nobody(), "ready")];
+        let balancer = Balancer::operated(&Discovery::quiet(), &list, Some(&file(&[(name, at)], "")));
+        let clients: Vec<Lines> = (0..users).map(|i| log_in(&balancer, &format!("user{i}"))).collect();
+        let answered = |mut client: Lines| {
+            client.until(if at == a { SUCCESS } else { "</stream:stream>" });
+            client
+        };
+        let _held: Vec<Lines> = clients.into_iter().map(answered).collect();
+        balancer.call("DUMP\r\n")
+    };
+    let up = count(a, 4);
+    for line in ["completed.watch:4|c", "upstream_requests.watch:4|c", "failed.watch:0|c", "pending:4|g"] {
+        assert!(up.contains(&format!("lb.{line}")), "{line}: {up}");
+    }
+    // The last of them found the instance passed over: it is refused like the others.
+    let refused = count(full, 4);
+    for line in ["completed.watch:0|c", "rejected.watch:4|c", "failed.watch:0|c", "pending:0|g"] {
+        assert!(refused.contains(&format!("lb.{line}")), "{line}: {refused}");
+    }
+}
+
 /// Every rule for both fronts at once: one final answer each, no two tries out, nothing new to what drains,
 /// all passed on unchanged, and at the end everybody is told before being cut off.
 #[test]
