Start a new version beside the old one on the inherited socket, and lose nobody

The change: src/net/inherited.rs takes LB_FD (checked: a listening TCP socket at the configured address); the process says yes once discovery has told the list, or after 2 s; at SIGTERM the old one takes only what waits in the queue with nobody else to take it, moves all who stand evenly from the start, and ends when its last connection has.

--- a/benches/flood.rs
+++ b/benches/flood.rs
@@ -71,16 +71,9 @@
 
 /// Has first lines refused, one after the other on eight connections at a time.
 fn refusals(program: &Path) -> f64 {
-    let dir = std::env::temp_dir().join(format!("oakdeal-flood-{}", std::process::id()));
-    std::fs::create_dir_all(&dir).unwrap();
-    std::fs::write(dir.join("services.toml"), "[[Projects]]\nName = \"south\"\nConnections = 1\n").unwrap();
     let team = "[[team]]\nname = \"south\"\nconnections = 1\nborrow = false\n";
-    let balancer =
-        Balancer::of(program, &Discovery::quiet(), &servers(), Some(team), SETTINGS, "text", |command| {
-            if program != Path::new(env!("CARGO_BIN_EXE_oakdeal")) {
-                command.env_remove("OAKDEAL_OPERATOR").env("OAKDEAL_SERVICES", dir.join("services.toml"));
-            }
-        });
+    let start = Start { program, operator: Some(team), ..Start::default() };
+    let balancer = Balancer::launch(&Discovery::quiet(), &servers(), start).up();
     let mut holder = balancer.client();
     assert_eq!(holder.say("OPEN holder 1 c=watch,d=2000,t=south\r\n").hear(), "UP 1");
     let begun = balancer.cpu();
@@ -99,6 +92,5 @@
         .collect();
     threads.into_iter().for_each(|thread| thread.join().unwrap());
     let used = balancer.cpu() - begun;
-    let _ = std::fs::remove_dir_all(dir);
     used.as_secs_f64() * 1e6 / REFUSED as f64
 }
--- a/src/broker/drain.rs
+++ b/src/broker/drain.rs
@@ -1,4 +1,4 @@
-//! Whether this balancer wants clients: serving, draining at an operator's word, or leaving for good.
+//! Whether this balancer wants clients: starting, serving, draining at an operator's word, or leaving for good.
 //!
 //! Promised: while it drains or leaves, every connection that stands is named for a move by its end, evenly over the
 //! time until then, and whoever is set up later goes at once. Not promised: that those who were asked leave.
@@ -44,14 +44,31 @@
 /// The machine.
 #[derive(Debug, Default)]
 pub struct Drain {
+    /// It takes clients: from then on it can serve.
+    begun: bool,
     state: State,
     pace: Pace,
 }
 
 impl Drain {
+    /// Clients are taken from now on.
+    pub fn begin(&mut self) {
+        self.begun = true;
+    }
+
     /// Whether this process is there to serve.
     pub fn serves(&self) -> bool {
-        self.state == State::Serving
+        self.begun && self.state == State::Serving
+    }
+
+    /// Whether the program is to end.
+    pub fn leaves(&self) -> bool {
+        matches!(self.state, State::Leaving { .. })
+    }
+
+    /// Whether there may be moves to make.
+    pub fn empties(&self) -> bool {
+        self.state != State::Serving
     }
 
     /// Whether the front is told to send clients. While the program leaves it is: the platform knows that already,
@@ -102,10 +119,10 @@
 
     /// How many of those that stand are to be asked to move now.
     pub fn moves(&mut self, now: Micros, standing: usize) -> usize {
-        let pace = &mut self.pace;
-        if self.state == State::Serving || now < pace.from {
+        if !self.empties() || now < self.pace.from {
             return 0;
         }
+        let pace = &mut self.pace;
         if now >= pace.end {
             return standing;
         }
@@ -148,6 +165,8 @@
         #[test]
         fn nobody_is_held_past_the_end_and_nobody_moves_while_it_serves(words in words()) {
             let (mut drain, mut now, mut standing) = (Drain::default(), 1_000_000_000, 100usize);
+            prop_assert!(!drain.serves(), "before it takes clients");
+            drain.begin();
             // When the last drain began that was not taken back, and when SIGTERM came.
             let (mut since, mut term): (Option<Micros>, Option<Micros>) = (None, None);
             for (gap, word) in words {
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -290,6 +290,8 @@
     figures: Rc<Figures>,
     /// Says that moves of a drain are to be looked at.
     drains: Notify,
+    /// Says that discovery has told the list.
+    told: Notify,
 }
 
 impl Broker {
@@ -319,6 +321,7 @@
             drain: RefCell::default(),
             figures: Figures::new(classes),
             drains: Notify::new(),
+            told: Notify::new(),
         };
         Ok((Rc::new(broker), ordered))
     }
@@ -387,6 +390,9 @@
 
     /// News of the list.
     pub fn listed(&self, kind: ListKind, listing: Listing) {
+        if kind != ListKind::Cached {
+            self.told.notify_one();
+        }
         let hosts = self.state.borrow_mut().instances.news(kind, listing, &self.names);
         self.tell(Event::Members { kind, hosts });
     }
@@ -584,6 +590,21 @@
         self.drain.borrow().invites()
     }
 
+    /// Clients are taken from now on.
+    pub fn begin(&self) {
+        self.drain.borrow_mut().begin();
+    }
+
+    /// Whether the program is to end.
+    pub fn leaving(&self) -> bool {
+        self.drain.borrow().leaves()
+    }
+
+    /// Ends once discovery has told the list in this run.
+    pub async fn told(&self) {
+        self.told.notified().await;
+    }
+
     /// The program is to end: every service client is asked to come again between these times.
     pub fn leave(&self, from: Micros, end: Micros) {
         self.drain.borrow_mut().leave(from, end);
@@ -594,7 +615,7 @@
     /// meanwhile: one cause of moves at a time.
     pub async fn keep_drain(&self) -> ! {
         loop {
-            if self.drain.borrow().serves() {
+            if !self.drain.borrow().empties() {
                 self.drains.notified().await;
             }
             self.after(TURN).await;
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -3,6 +3,7 @@
 pub mod admin;
 pub mod buffer;
 pub mod discovery;
+pub mod inherited;
 pub mod links;
 pub mod lobby;
 pub mod platform;
@@ -11,12 +12,13 @@
 
 use crate::broker::{Broker, Order};
 use discovery::Watcher;
-use std::cell::RefCell;
+use inherited::Listener;
+use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::future::Future;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpStream;
 use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::task::{spawn_local, JoinHandle};
 
@@ -44,7 +46,7 @@
 
 /// Accepts for ever. A lack of descriptors, ours or the system's, is survived: it is logged once each time it
 /// begins, and accepting pauses until connections have ended.
-pub async fn accept<F, S>(broker: Rc<Broker>, listener: TcpListener, what: &'static str, serve: F)
+pub async fn accept<F, S>(broker: Rc<Broker>, listener: Listener, what: &'static str, serve: F)
 where
     F: Fn(TcpStream, SocketAddr) -> S,
     S: Future<Output = ()> + 'static,
@@ -55,7 +57,7 @@
         if row % ROW == 0 {
             tokio::task::yield_now().await;
         }
-        match listener.accept().await {
+        match listener.accept(&broker).await {
             Ok((stream, from)) => {
                 failing = false;
                 // Lines are short and wanted at once.
@@ -71,3 +73,29 @@
         }
     }
 }
+
+/// How many connections of a front are open, from their acceptance to their end.
+#[derive(Clone, Default)]
+pub struct Connections(Rc<Cell<usize>>);
+
+/// One of them, until it is dropped.
+pub struct Connection(Rc<Cell<usize>>);
+
+impl Connections {
+    /// One more.
+    pub fn one(&self) -> Connection {
+        self.0.set(self.0.get() + 1);
+        Connection(self.0.clone())
+    }
+
+    /// How many there are.
+    pub fn open(&self) -> usize {
+        self.0.get()
+    }
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
--- a/src/serve.rs
+++ b/src/serve.rs
@@ -8,13 +8,14 @@
 use crate::contracts::ledger::Reason;
 use crate::net;
 use crate::net::admin::{self, Door};
+use crate::net::inherited::Listener;
 use crate::net::lobby::Lobby;
 use crate::net::xmpp::Front;
+use crate::net::Connections;
 use crate::operator::Operator;
 use std::path::{Path, PathBuf};
 use std::rc::Rc;
 use std::time::{SystemTime, UNIX_EPOCH};
-use tokio::net::TcpListener;
 use tokio::signal::unix::{signal, SignalKind};
 use tokio::task::{spawn_local, LocalSet};
 
@@ -31,6 +32,10 @@
 const FROM: u64 = 6;
 /// Who has not left by the end is waited for so long more.
 const OVERTIME: u64 = 2_000_000;
+/// For so long after SIGTERM new connections keep coming, whoever is there to take them.
+const COMING: u64 = 600_000;
+/// A start beside an older process waits so long for discovery's word; the platform waits six seconds.
+const UNTOLD: u64 = 2_000_000;
 /// The target of the account's records.
 pub const ACCOUNT: &str = "oakdeal::account";
 
@@ -79,10 +84,11 @@
     broker.contract(operator.terms);
     broker.rebalance(operator.rebalance);
     let lobby = Lobby::new(broker.clone(), seats);
-    let listener = TcpListener::bind(config.listen)
-        .await
-        .map_err(|e| format!("cannot listen on {}: {e}", config.listen))?;
-    let at = listener.local_addr().map_err(|e| e.to_string())?;
+    let listener = match std::env::var("LB_FD") {
+        Ok(descriptor) if !descriptor.is_empty() => Listener::inherited(&descriptor, config.listen)?,
+        _ => Listener::bind(config.listen).await?,
+    };
+    let (at, shared) = (listener.at()?, listener.shared());
 
     let sweeper = broker.clone();
     spawn_local(async move { sweeper.sweep().await });
@@ -97,15 +103,20 @@
     let keeper = broker.clone();
     spawn_local(async move { keeper.keep_drain().await });
     let guests = lobby.clone();
-    let serve = move |stream, from| net::platform::serve(guests.clone(), stream, from);
-    spawn_local(net::accept(broker.clone(), listener, "clients", serve));
-    tracing::info!("{} serves {at}", config.name);
+    let connections = Connections::default();
+    let counted = connections.clone();
+    let serve = move |stream, from| {
+        let (guests, connection) = (guests.clone(), counted.one());
+        async move {
+            net::platform::serve(guests, stream, from).await;
+            drop(connection);
+        }
+    };
     if let Some(file) = operator.xmpp {
         let address = file.listen.ok_or("the XMPP front has no address")?;
         let front = Rc::new(Front::new(broker.clone(), file)?);
-        let listener =
-            TcpListener::bind(address).await.map_err(|e| format!("cannot listen on {address}: {e}"))?;
-        let at = listener.local_addr().map_err(|e| e.to_string())?;
+        let listener = Listener::bind(address).await?;
+        let at = listener.at()?;
         let serve = move |stream, from| net::xmpp::serve(front.clone(), lobby.clone(), stream, from);
         spawn_local(net::accept(broker.clone(), listener, "xmpp clients", serve));
         tracing::info!("{} serves XMPP on {at}", config.name);
@@ -114,10 +125,9 @@
     // Polled by the program's main future, so before all connections in each turn of the loop.
     let door = LocalSet::new();
     if let Some(address) = admin {
-        let listener = TcpListener::bind(address)
-            .await
-            .map_err(|e| format!("admin: cannot listen on {address}: {e}; give an address that is free"))?;
-        let at = listener.local_addr().map_err(|e| e.to_string())?;
+        let listener = Listener::bind(address).await;
+        let listener = listener.map_err(|e| format!("admin: {e}; give an address that is free"))?;
+        let at = listener.at()?;
         let lobby = Lobby::new(broker.clone(), admin::SEATS);
         let inside = Door::new(Operations::new(broker.clone()), lobby);
         let serve = move |stream, from| admin::serve(inside.clone(), stream, from);
@@ -125,6 +135,21 @@
         tracing::info!("{} answers operators on {at}", config.name);
     }
 
+    let (host, name) = (broker.clone(), config.name.clone());
+    let clients = async move {
+        if shared {
+            // An older process serves meanwhile: there is time to hear what has changed.
+            tokio::select! {
+                () = host.told() => {}
+                () = host.after(UNTOLD) => tracing::warn!("discovery has told nothing yet: serving by the list given"),
+            }
+        }
+        host.begin();
+        tracing::info!("{name} serves {at}");
+        net::accept(host, listener, "clients", serve).await
+    };
+    spawn_local(clients);
+
     let clerk = Clerk { broker: broker.clone(), balancer: config.name.clone(), started: unix_ms() };
     let every = std::cell::Cell::new(operator.every);
     let reloads = async {
@@ -140,7 +165,7 @@
     };
     let ends = async {
         term.recv().await;
-        leave(&broker).await;
+        leave(&broker, shared.then_some(&connections)).await;
         clerk.write();
     };
     let door = async {
@@ -263,13 +288,22 @@
 
 /// The program is to end: it goes on answering, and asks every client to come again, in time before it may
 /// be killed. It ends when that time has come and nothing is left.
-async fn leave(broker: &Rc<Broker>) {
+///
+/// Where it shares its socket with a process that comes after it there is somebody to come back to at once, and it
+/// ends when its last connection has.
+async fn leave(broker: &Rc<Broker>, shared: Option<&Connections>) {
     let span = broker.longest().min(LONGEST_END);
-    let (from, end) = (broker.now() + span * FROM / 10, broker.now() + span);
+    let begun = broker.now();
+    let (from, end) = (if shared.is_some() { begun } else { begun + span * FROM / 10 }, begun + span);
     tracing::info!("leaving: {} connections are asked to come again", broker.in_hand());
     broker.leave(from, end);
-    broker.until(end).await;
-    while broker.in_hand() > 0 && broker.now() < end + OVERTIME {
+    loop {
+        let now = broker.now();
+        let early = shared.is_some_and(|connections| connections.open() == 0 && now >= begun + COMING);
+        let over = broker.in_hand() == 0 && now >= end;
+        if early || over || now >= end + OVERTIME {
+            break;
+        }
         broker.after(20_000).await;
     }
     tracing::info!("left with {} connections in hand", broker.in_hand());
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -2,9 +2,13 @@
 //! event; the time-outs only end a test that would hang.
 #![allow(dead_code)]
 
+use command_fds::{CommandFdExt, FdMapping};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::os::fd::OwnedFd;
+use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex};
 use std::thread;
@@ -182,12 +186,29 @@
     /// The operators' door, where it was started with one.
     pub admin: Option<SocketAddr>,
     log: Receiver<String>,
-    dir: std::path::PathBuf,
+    dir: PathBuf,
 }
 
 /// The descriptors that the program is told it may use.
 pub const DESCRIPTORS: usize = 512;
 
+/// How it is started.
+pub struct Start<'a> {
+    pub program: &'a Path,
+    pub operator: Option<&'a str>,
+    pub settings: &'a str,
+    pub log_format: &'a str,
+    pub door: bool,
+    pub socket: Option<&'a TcpListener>,
+}
+
+impl Default for Start<'_> {
+    fn default() -> Self {
+        let program = Path::new(env!("CARGO_BIN_EXE_oakdeal"));
+        Start { program, operator: None, settings: SETTINGS, log_format: "text", door: false, socket: None }
+    }
+}
+
 pub const SETTINGS: &str = r#"{"Areas":["a"],"MyZone":"a","PeersTotal":1,"RegistryMode":"subscribe",
   "Classes":[{"Name":"watch","AimMs":800,"DeadlineMs":2000,"Effect":"free","Group":"all"}],
   "Guarantees":{"ColdShare":1.0,"DrainGraceMs":500,"MustAskInMs":10000},
@@ -206,19 +227,17 @@
         settings: &str,
         log_format: &str,
     ) -> Balancer {
-        let program = std::path::Path::new(env!("CARGO_BIN_EXE_oakdeal"));
-        Balancer::of(program, discovery, known, operator, settings, log_format, |_| ())
+        Balancer::launch(discovery, known, Start { operator, settings, log_format, ..Start::default() }).up()
     }
 
     /// One with a door for operators.
     pub fn operated(discovery: &Discovery, known: &[String], operator: Option<&str>) -> Balancer {
-        let program = std::path::Path::new(env!("CARGO_BIN_EXE_oakdeal"));
-        let door = |command: &mut Command| {
-            command.env("LB_ADMIN", "127.0.0.1:0");
-        };
-        let mut balancer = Balancer::of(program, discovery, known, operator, SETTINGS, "text", door);
-        balancer.admin = Some(balancer.address("n0 answers operators on "));
-        balancer
+        Balancer::launch(discovery, known, Start { operator, door: true, ..Start::default() }).up()
+    }
+
+    /// One with a door, which takes its clients from a socket that it inherits.
+    pub fn beside(discovery: &Discovery, known: &[String], socket: &TcpListener) -> Balancer {
+        Balancer::launch(discovery, known, Start { door: true, socket: Some(socket), ..Start::default() })
     }
 
     /// Says a line at the operators' door; all that it answers.
@@ -226,43 +245,70 @@
         Lines::to(self.admin.unwrap()).say(line).rest()
     }
 
-    /// Another build of it, or one that is started in another way.
-    pub fn of(
-        program: &std::path::Path,
-        discovery: &Discovery,
-        known: &[String],
-        operator: Option<&str>,
-        settings: &str,
-        log_format: &str,
-        change: impl FnOnce(&mut Command),
-    ) -> Balancer {
-        let id = thread::current().name().unwrap_or("test").replace("::", "-");
-        let dir = std::env::temp_dir().join(format!("oakdeal-{}-{id}", std::process::id()));
+    /// Starts it and waits for nothing.
+    pub fn launch(discovery: &Discovery, known: &[String], start: Start) -> Balancer {
+        let (mut command, dir) = Balancer::command(discovery, known, &start);
+        let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
+        let (told, log) = channel();
+        let stderr = BufReader::new(child.stderr.take().unwrap());
+        thread::spawn(move || stderr.lines().map_while(Result::ok).try_for_each(|line| told.send(line)));
+        let mut balancer = Balancer { child, lines: nobody(), xmpp: None, admin: None, log, dir };
+        if start.operator.is_some_and(|text| text.contains("[xmpp]")) {
+            balancer.xmpp = Some(balancer.address("n0 serves XMPP on "));
+        }
+        if start.door {
+            balancer.admin = Some(balancer.address("n0 answers operators on "));
+        }
+        balancer
+    }
+
+    /// Starts it with this text for `LB_FD` and this as descriptor 5, and expects it to end: what it said.
+    pub fn refuses(discovery: &Discovery, start: Start, text: &str, pass: Option<OwnedFd>) -> String {
+        let (mut command, dir) = Balancer::command(discovery, &[], &start);
+        if let Some(parent_fd) = pass {
+            command.fd_mappings(vec![FdMapping { parent_fd, child_fd: 5 }]).unwrap();
+        }
+        let out = command.env("LB_FD", text).output().unwrap();
+        std::fs::remove_dir_all(dir).unwrap();
+        assert_eq!(out.status.code(), Some(1));
+        String::from_utf8(out.stderr).unwrap()
+    }
+
+    fn command(discovery: &Discovery, known: &[String], start: &Start) -> (Command, PathBuf) {
+        static STARTED: AtomicUsize = AtomicUsize::new(0);
+        let number = STARTED.fetch_add(1, Ordering::Relaxed);
+        let dir = std::env::temp_dir().join(format!("oakdeal-{}-{number}", std::process::id()));
         std::fs::create_dir_all(&dir).unwrap();
+        let listen = start.socket.map(|socket| socket.local_addr().unwrap().to_string());
+        let listen = listen.unwrap_or("127.0.0.1:0".into());
         let config = format!(
-            r#"{{"name":"n0","listen":"127.0.0.1:0","discovery":"{}","seed":"1","limits":{{"sockets":{DESCRIPTORS}}},
-                "known":{},"settings":{settings}}}"#,
+            r#"{{"name":"n0","listen":"{listen}","discovery":"{}","seed":"1","limits":{{"sockets":{DESCRIPTORS}}},
+                "known":{},"settings":{}}}"#,
             discovery.address,
-            listing(1, known)
+            listing(1, known),
+            start.settings
         );
         std::fs::write(dir.join("config.json"), config).unwrap();
-        let mut command = Command::new(program);
-        if let Some(text) = operator {
+        let mut command = Command::new(start.program);
+        if let Some(text) = start.operator {
             std::fs::write(dir.join("oakdeal.toml"), text).unwrap();
             command.env("OAKDEAL_OPERATOR", dir.join("oakdeal.toml"));
         }
-        command.env("LB_CONFIG", dir.join("config.json")).env("OAKDEAL_LOG_FORMAT", log_format);
-        change(&mut command);
-        let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
-        let (told, log) = channel();
-        let stderr = BufReader::new(child.stderr.take().unwrap());
-        thread::spawn(move || stderr.lines().map_while(Result::ok).try_for_each(|line| told.send(line)));
-        let mut balancer = Balancer { child, lines: nobody(), xmpp: None, admin: None, log, dir };
-        balancer.lines = balancer.address("n0 serves ");
-        if operator.is_some_and(|text| text.contains("[xmpp]")) {
-            balancer.xmpp = Some(balancer.address("n0 serves XMPP on "));
+        if let Some(socket) = start.socket {
+            let parent_fd = socket.try_clone().unwrap().into();
+            command.env("LB_FD", "5").fd_mappings(vec![FdMapping { parent_fd, child_fd: 5 }]).unwrap();
         }
-        balancer
+        if start.door {
+            command.env("LB_ADMIN", "127.0.0.1:0");
+        }
+        command.env("LB_CONFIG", dir.join("config.json")).env("OAKDEAL_LOG_FORMAT", start.log_format);
+        (command, dir)
+    }
+
+    /// Waits until it takes clients.
+    pub fn up(mut self) -> Balancer {
+        self.lines = self.address("n0 serves ");
+        self
     }
 
     fn address(&self, start: &str) -> SocketAddr {
