Hand what stands to the new version, and remember what clients asked for

The change: src/broker/handover.rs (versioned, summed, fresh, whole or not at all in TMPDIR), src/serve/upgrade.rs, src/broker/loads.rs (loads by client key, bounded), Core::inherit, comes_over and alone, told to the module as Adopted and Vanished. Found by the new story: a process that ended soon after its start took up its own handover; it stops looking when it leaves (upgrade.rs, take_up).

Property: an old and a new process grant a team together what one may.

--- a/src/broker/core.rs
+++ b/src/broker/core.rs
@@ -5,6 +5,8 @@
 //! Promised: contracts are asked before the module is; whatever was let in is given back exactly once, however it
 //! ends; moves that contracts want come out as the module's own do.
 
+use super::handover::Stand;
+use super::loads::Loads;
 use crate::api::*;
 use crate::contracts::ledger::Reason;
 use crate::contracts::{Change, Contract, Contracts, End, Frame, Terms, Ticket};
@@ -29,11 +31,23 @@
     class: usize,
     /// The team that its client named.
     team: Option<Arc<str>>,
+    key: Option<Arc<str>>,
+    group: Option<Arc<str>>,
+    /// Where it stands, and what it asks for there, where that was told.
+    host: HostId,
+    load: Option<f64>,
     /// What it holds of its team's contract, where there are contracts.
     ticket: Option<Ticket>,
     stands: bool,
 }
 
+impl Book {
+    fn of(demand: &Demand, team: Option<&str>) -> Book {
+        let (key, group) = (demand.key.clone(), demand.group.clone());
+        Book { class: demand.class, team: team.map(Into::into), key, group, ..Book::default() }
+    }
+}
+
 /// The decisions of one balancer.
 #[derive(Default)]
 pub struct Core {
@@ -47,6 +61,9 @@
     projects: Vec<String>,
     tenants: Vec<Tenant>,
     books: BTreeMap<CallId, Book>,
+    loads: Loads,
+    /// Connections that stand at the process before this one, by client key: their clients come here.
+    older: BTreeMap<Arc<str>, Vec<CallId>>,
     /// Instances that the list calls ready: size, and when each was started.
     ready: BTreeMap<HostId, (f64, Micros)>,
 }
@@ -71,6 +88,10 @@
     /// Asks the contracts, where there are any, and says in the demand whose it is. One that was let in is then
     /// told as [`Event::Demand`], or taken back with [`Core::withdraw`].
     pub fn admit(&mut self, now: Micros, demand: &mut Demand, team: Option<&str>) -> Result<(), Refused> {
+        if demand.returned || demand.repeat {
+            self.comes_over(now, demand);
+        }
+        demand.hint = demand.hint.or(demand.key.as_deref().and_then(|key| self.loads.usual(now, key)));
         demand.tenant = team.and_then(|name| self.projects.iter().position(|p| p == name));
         let mut ticket = None;
         if let Some(contracts) = &mut self.contracts {
@@ -84,7 +105,7 @@
         if let Some(most) = demand.tenant.and_then(|t| self.tenants.get(t)).and_then(|t| t.deadline) {
             demand.left = demand.left.min(most);
         }
-        let book = Book { class: demand.class, team: team.map(Into::into), ticket, stands: false };
+        let book = Book { ticket, ..Book::of(demand, team) };
         self.books.insert(demand.call.clone(), book);
         Ok(())
     }
@@ -109,7 +130,7 @@
             demand.tenant = Some(projects + id);
             contracts.adopt(now, id, demand.class, &demand.call)
         });
-        let book = Book { class: demand.class, team: team.map(Into::into), ticket, stands: true };
+        let book = Book { ticket, stands: true, host, load: demand.hint, ..Book::of(&demand, team) };
         self.books.insert(demand.call.clone(), book);
         let (event, mut actions) = (Event::Adopted(demand, host), Vec::new());
         tracing::debug!("told: {event:?}");
@@ -117,6 +138,48 @@
         actions
     }
 
+    /// What stands here, for the process after this one.
+    pub fn stands(&self, now: Micros) -> Vec<Stand> {
+        let text = |text: &Option<Arc<str>>| text.as_deref().map(String::from);
+        let usual = |book: &Book| book.key.as_deref().and_then(|key| self.loads.usual(now, key));
+        let stand = |book: &Book| {
+            let class = self.frame.classes.get(book.class)?.0.to_string();
+            let (team, key, group) = (text(&book.team), text(&book.key), text(&book.group));
+            Some(Stand { class, team, key, group, instance: book.host, load: usual(book).or(book.load) })
+        };
+        self.books.values().filter(|book| book.stands).filter_map(stand).collect()
+    }
+
+    /// What stands at the process before this one: booked as if it stood here, until its client comes over or
+    /// [`Core::alone`] says that the other process has ended.
+    pub fn inherit(&mut self, now: Micros, stands: Vec<Stand>) {
+        for (i, stand) in stands.into_iter().enumerate() {
+            let Some(class) = self.frame.classes.iter().position(|c| *c.0 == *stand.class) else { continue };
+            // No client can choose such an id.
+            let id = format!("older {i}");
+            let key: Option<Arc<str>> = stand.key.map(Into::into);
+            let (group, hint) = (stand.group.map(Into::into), stand.load.filter(|load| load.is_finite()));
+            key.iter().zip(hint).for_each(|(key, load)| self.loads.told(now, key, load));
+            let demand = Demand { key: key.clone(), group, hint, ..Demand::new(&id, class, Micros::MAX / 4) };
+            // It stands elsewhere: what moves it decides is decided there.
+            self.adopt(now, demand, stand.team.as_deref(), stand.instance);
+            self.older.entry(key.unwrap_or_default()).or_default().push(id.as_str().into());
+        }
+    }
+
+    /// The process before this one has ended.
+    pub fn alone(&mut self, now: Micros) {
+        let left = std::mem::take(&mut self.older).into_values().flatten();
+        left.for_each(|call| self.tell(now, Event::Vanished { call }, &mut Vec::new()));
+    }
+
+    /// A client that stood at the process before this one comes here.
+    fn comes_over(&mut self, now: Micros, demand: &mut Demand) {
+        let Some(key) = demand.key.clone() else { return };
+        let Some(call) = self.older.get_mut(&key).and_then(Vec::pop) else { return };
+        self.tell(now, Event::Vanished { call }, &mut Vec::new());
+    }
+
     /// The one way to the module; contracts learn what bears on them.
     pub fn tell(&mut self, now: Micros, event: Event, actions: &mut Vec<Action>) {
         if let Some(rebalance) = &mut self.rebalance {
@@ -127,12 +190,18 @@
             Event::Opened { call, host, .. } => {
                 self.seen(now, *host, true);
                 if let Some(book) = self.books.get_mut(call) {
-                    book.stands = true;
+                    (book.stands, book.host) = (true, *host);
                     if let Some((ticket, contracts)) = book.ticket.as_ref().zip(self.contracts.as_mut()) {
                         contracts.stands(ticket);
                     }
                 }
             }
+            Event::LoadNote { call, load } => {
+                if let Some(book) = self.books.get_mut(call) {
+                    book.load = Some(*load);
+                    book.key.iter().for_each(|key| self.loads.told(now, key, *load));
+                }
+            }
             Event::Finished { call, host, outcome, ended, .. } => {
                 let stands = self.books.get(call).is_some_and(|book| book.stands);
                 if !stands && matches!(outcome, Outcome::ConnectFailed | Outcome::Timeout) {
@@ -324,3 +393,111 @@
         budget: contract.retry.map(|r| RetryBudget { free: r.free * part, ..r }),
     }
 }
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+    use std::collections::BTreeSet;
+
+    const S: Micros = 1_000_000;
+
+    fn core(hosts: u32, teams: &[Contract]) -> Core {
+        let class = Class {
+            aim: S,
+            effect: Effect::Free,
+            guard: GuardGroup::All,
+            window: S,
+            message_aim: S,
+            deadline: 2 * S,
+            worth: 1.0,
+        };
+        let env = crate::wire::Env {
+            classes: Some(vec![crate::wire::EnvClass { name: Some("watch".into()), ..Default::default() }]),
+            ..Default::default()
+        };
+        let (_, names) = env.translate().unwrap();
+        let settings = Settings { classes: vec![class], peers_total: 1, ..Settings::default() };
+        let mut core = Core::new(settings, &names, 1).unwrap();
+        let list = Event::Members { kind: ListKind::Cached, hosts: (1..=hosts).map(Entry::ready).collect() };
+        core.tell(S, list, &mut Vec::new());
+        core.contract(S, Some(Terms { contracts: teams.to_vec(), ..Terms::default() }));
+        core
+    }
+
+    /// One client asks; whether it was brought up.
+    fn ask(core: &mut Core, now: Micros, id: &str, key: &str, back: bool) -> bool {
+        let mut demand = Demand { key: Some(key.into()), returned: back, ..Demand::new(id, 0, 2 * S) };
+        let call = demand.call.clone();
+        if core.admit(now, &mut demand, Some("south")).is_err() {
+            return false;
+        }
+        let mut actions = Vec::new();
+        core.tell(now, Event::Demand(demand), &mut actions);
+        let Some(host) = actions.iter().find_map(|a| match a {
+            Action::Send { host, .. } => Some(*host),
+            _ => None,
+        }) else {
+            return false;
+        };
+        core.tell(now, Event::Opened { call, host, elapsed: 1 }, &mut actions);
+        true
+    }
+
+    proptest! {
+        /// Guards against a pair of processes that together grant a team more than one balancer may, a client that is
+        /// booked twice when it comes over, and room that never comes back.
+        #[test]
+        fn an_old_and_a_new_process_grant_together_what_one_may(
+            room in 1usize..20,
+            comes in proptest::collection::vec((any::<bool>(), 0usize..20), 1..80),
+        ) {
+            let team = Contract { connections: room as f64, borrow: false, ..Contract::none("south") };
+            let teams = [team];
+            let (mut old, mut new) = (core(3, &teams), core(3, &teams));
+            let up = |core: &mut Core, i: usize| ask(core, S, &format!("o{i}"), &format!("k{i}"), false);
+            let stood = (0..room).filter(|&i| up(&mut old, i)).count();
+            prop_assert_eq!(stood, room);
+            new.inherit(S, old.stands(S));
+            let (mut at_old, mut at_new): (BTreeSet<usize>, usize) = ((0..room).collect(), 0);
+            for (n, (back, i)) in comes.into_iter().enumerate() {
+                let i = i % room;
+                if back && at_old.remove(&i) {
+                    // Moved by the old one, it comes here, and has its place.
+                    let gone = Event::Finished {
+                        call: format!("o{i}").as_str().into(),
+                        attempt: 0,
+                        host: 1,
+                        outcome: Outcome::Cancelled,
+                        elapsed: S,
+                        ended: true,
+                    };
+                    old.tell(S, gone, &mut Vec::new());
+                    let has_its_place = ask(&mut new, S, &format!("n{n}"), &format!("k{i}"), true);
+                    prop_assert!(has_its_place);
+                    at_new += 1;
+                } else if ask(&mut new, S, &format!("n{n}"), &format!("other{n}"), back) {
+                    at_new += 1;
+                }
+                prop_assert!(at_old.len() + at_new <= room, "{} and {at_new} of {room}", at_old.len());
+            }
+            new.alone(S);
+            let more = (0..room).filter(|i| ask(&mut new, S, &format!("l{i}"), &format!("late{i}"), false)).count();
+            prop_assert_eq!(at_new + more, room);
+        }
+    }
+
+    /// Guards against a client whose load is known and that is placed like any other once it comes again.
+    #[test]
+    fn a_client_that_comes_again_is_placed_by_the_load_that_it_had() {
+        let mut core = core(2, &[]);
+        assert!(ask(&mut core, S, "a", "k", false));
+        core.tell(S, Event::LoadNote { call: "a".into(), load: 763_000.0 }, &mut Vec::new());
+        let mut demand = Demand { key: Some("k".into()), ..Demand::new("b", 0, S) };
+        core.admit(2 * S, &mut demand, None).unwrap();
+        assert_eq!(demand.hint, Some(763_000.0));
+        let mut other = Demand { key: Some("other".into()), ..Demand::new("c", 0, S) };
+        core.admit(2 * S, &mut other, None).unwrap();
+        assert_eq!(other.hint, None);
+    }
+}
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -8,7 +8,9 @@
 pub mod deadlines;
 pub mod drain;
 pub mod figures;
+pub mod handover;
 pub mod instances;
+pub mod loads;
 pub mod operations;
 
 use crate::api::*;
@@ -19,6 +21,7 @@
 use deadlines::{Clock, Deadlines, Wait};
 use drain::Drain;
 use figures::{End, Figures, Members, Tally};
+use handover::Stand;
 use instances::{Instances, Listing};
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
@@ -590,6 +593,21 @@
         self.drain.borrow().invites()
     }
 
+    /// What stands here, for the process after this one.
+    pub fn stands(&self) -> Vec<Stand> {
+        self.state.borrow().core.stands(self.now())
+    }
+
+    /// What stands at the process before this one.
+    pub fn inherit(&self, stands: Vec<Stand>) {
+        self.state.borrow_mut().core.inherit(self.now(), stands);
+    }
+
+    /// The process before this one has ended.
+    pub fn alone(&self) {
+        self.state.borrow_mut().core.alone(self.now());
+    }
+
     /// Clients are taken from now on.
     pub fn begin(&self) {
         self.drain.borrow_mut().begin();
--- a/src/serve.rs
+++ b/src/serve/mod.rs
@@ -1,6 +1,8 @@
 //! `oakdeal serve`: the balancer from its start to its end. What lives here is the order of things: what is read
 //! first, what a signal changes, when clients are asked to leave.
 
+mod upgrade;
+
 use crate::api::ListKind;
 use crate::broker::operations::Operations;
 use crate::broker::Broker;
@@ -89,6 +91,8 @@
         _ => Listener::bind(config.listen).await?,
     };
     let (at, shared) = (listener.at()?, listener.shared());
+    let place = upgrade::place().filter(|_| shared);
+    place.iter().for_each(|place| upgrade::clear(place));
 
     let sweeper = broker.clone();
     spawn_local(async move { sweeper.sweep().await });
@@ -135,7 +139,7 @@
         tracing::info!("{} answers operators on {at}", config.name);
     }
 
-    let (host, name) = (broker.clone(), config.name.clone());
+    let (host, name, left) = (broker.clone(), config.name.clone(), place.clone());
     let clients = async move {
         if shared {
             // An older process serves meanwhile: there is time to hear what has changed.
@@ -146,6 +150,9 @@
         }
         host.begin();
         tracing::info!("{name} serves {at}");
+        if let Some(place) = left {
+            spawn_local(upgrade::take_up(host.clone(), place, name));
+        }
         net::accept(host, listener, "clients", serve).await
     };
     spawn_local(clients);
@@ -165,6 +172,9 @@
     };
     let ends = async {
         term.recv().await;
+        if let Some(place) = &place {
+            upgrade::leave(&broker, place, &config.name, broker.now() + span(&broker) + OVERTIME);
+        }
         leave(&broker, shared.then_some(&connections)).await;
         clerk.write();
     };
@@ -286,14 +296,18 @@
     }
 }
 
+/// The time in which all that stands is asked to move once the program is to end.
+fn span(broker: &Broker) -> u64 {
+    broker.longest().min(LONGEST_END)
+}
+
 /// The program is to end: it goes on answering, and asks every client to come again, in time before it may
 /// be killed. It ends when that time has come and nothing is left.
 ///
 /// Where it shares its socket with a process that comes after it there is somebody to come back to at once, and it
 /// ends when its last connection has.
 async fn leave(broker: &Rc<Broker>, shared: Option<&Connections>) {
-    let span = broker.longest().min(LONGEST_END);
-    let begun = broker.now();
+    let (begun, span) = (broker.now(), span(broker));
     let (from, end) = (if shared.is_some() { begun } else { begun + span * FROM / 10 }, begun + span);
     tracing::info!("leaving: {} connections are asked to come again", broker.in_hand());
     broker.leave(from, end);
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -200,12 +200,22 @@
     pub log_format: &'a str,
     pub door: bool,
     pub socket: Option<&'a TcpListener>,
+    /// The folder that an older and a newer process share.
+    pub folder: Option<&'a Path>,
 }
 
 impl Default for Start<'_> {
     fn default() -> Self {
         let program = Path::new(env!("CARGO_BIN_EXE_oakdeal"));
-        Start { program, operator: None, settings: SETTINGS, log_format: "text", door: false, socket: None }
+        Start {
+            program,
+            operator: None,
+            settings: SETTINGS,
+            log_format: "text",
+            door: false,
+            socket: None,
+            folder: None,
+        }
     }
 }
 
@@ -247,7 +257,7 @@
 
     /// Starts it and waits for nothing.
     pub fn launch(discovery: &Discovery, known: &[String], start: Start) -> Balancer {
-        let (mut command, dir) = Balancer::command(discovery, known, &start);
+        let (mut command, dir) = Balancer::command(discovery, known, &start, None);
         let mut child = command.stderr(Stdio::piped()).spawn().unwrap();
         let (told, log) = channel();
         let stderr = BufReader::new(child.stderr.take().unwrap());
@@ -264,17 +274,19 @@
 
     /// Starts it with this text for `LB_FD` and this as descriptor 5, and expects it to end: what it said.
     pub fn refuses(discovery: &Discovery, start: Start, text: &str, pass: Option<OwnedFd>) -> String {
-        let (mut command, dir) = Balancer::command(discovery, &[], &start);
-        if let Some(parent_fd) = pass {
-            command.fd_mappings(vec![FdMapping { parent_fd, child_fd: 5 }]).unwrap();
-        }
+        let (mut command, dir) = Balancer::command(discovery, &[], &start, pass);
         let out = command.env("LB_FD", text).output().unwrap();
         std::fs::remove_dir_all(dir).unwrap();
         assert_eq!(out.status.code(), Some(1));
         String::from_utf8(out.stderr).unwrap()
     }
 
-    fn command(discovery: &Discovery, known: &[String], start: &Start) -> (Command, PathBuf) {
+    fn command(
+        discovery: &Discovery,
+        known: &[String],
+        start: &Start,
+        pass: Option<OwnedFd>,
+    ) -> (Command, PathBuf) {
         static STARTED: AtomicUsize = AtomicUsize::new(0);
         let number = STARTED.fetch_add(1, Ordering::Relaxed);
         let dir = std::env::temp_dir().join(format!("oakdeal-{}-{number}", std::process::id()));
@@ -294,13 +306,17 @@
             std::fs::write(dir.join("oakdeal.toml"), text).unwrap();
             command.env("OAKDEAL_OPERATOR", dir.join("oakdeal.toml"));
         }
-        if let Some(socket) = start.socket {
-            let parent_fd = socket.try_clone().unwrap().into();
+        let socket = start.socket.map(|socket| socket.try_clone().unwrap().into());
+        if let Some(parent_fd) = pass.or(socket) {
             command.env("LB_FD", "5").fd_mappings(vec![FdMapping { parent_fd, child_fd: 5 }]).unwrap();
         }
         if start.door {
             command.env("LB_ADMIN", "127.0.0.1:0");
         }
+        command.env_remove("TMPDIR");
+        if let Some(folder) = start.folder {
+            command.env("TMPDIR", folder);
+        }
         command.env("LB_CONFIG", dir.join("config.json")).env("OAKDEAL_LOG_FORMAT", start.log_format);
         (command, dir)
     }
--- a/tests/upgrade.rs
+++ b/tests/upgrade.rs
@@ -3,6 +3,7 @@
 mod peers;
 use peers::*;
 use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
 use std::sync::mpsc::channel;
 use std::sync::Arc;
@@ -33,7 +34,9 @@
 }
 
 fn await_end(balancer: &mut Balancer) {
+    let until = Instant::now() + Duration::from_secs(20);
     while balancer.runs() {
+        assert!(Instant::now() < until, "it does not end");
         thread::yield_now();
     }
 }
@@ -153,6 +156,53 @@
     assert_eq!(early.hear(), "UP 1");
 }
 
+fn folder(name: &str) -> PathBuf {
+    let folder = std::env::temp_dir().join(format!("oakdeal-upgrade-{}-{name}", std::process::id()));
+    std::fs::create_dir_all(&folder).unwrap();
+    folder
+}
+
+fn sharing(discovery: &Discovery, list: &[String], socket: &TcpListener, folder: &Path) -> Balancer {
+    let start = Start { door: true, socket: Some(socket), folder: Some(folder), ..Start::default() };
+    Balancer::launch(discovery, list, start)
+}
+
+/// Guards against a handover that is not taken up, is taken up twice, or one from before that is.
+#[test]
+fn what_stands_is_handed_over_once_and_what_was_left_from_before_is_not_taken_up() {
+    let ((socket, at), folder) = (socket(), folder("once"));
+    let (discovery, list) = (Discovery::quiet(), echoing());
+    let file = folder.join("oakdeal-handover");
+    std::fs::write(&file, "oakdeal-handover-0 from a crash").unwrap();
+    let mut old = sharing(&discovery, &list, &socket, &folder).up();
+    assert!(!file.exists());
+    await_ready(&old);
+    std::fs::write(&file, "oakdeal-handover-1 0123456789abcdef\n{}").unwrap();
+    old.logged("is not whole: ignored");
+    let mut standing: Vec<Lines> = (0..5)
+        .map(|i| {
+            let mut client = Lines::to(at);
+            assert_eq!(client.say(&format!("OPEN {i} {i} c=watch,d=2000,g=7\r\n")).hear(), "UP 1");
+            client
+        })
+        .collect();
+    let new = sharing(&discovery, &list, &socket, &folder).up();
+    await_ready(&new);
+    old.terminate();
+    old.logged("handed over 5 connections");
+    new.logged("5 connections stand at the process before this one");
+    for client in &mut standing {
+        assert_eq!(client.hear(), "MOVE");
+    }
+    await_end(&mut old);
+    assert_eq!(std::fs::read_dir(&folder).unwrap().count(), 0, "nothing is left there");
+    // A folder that cannot be written costs a warning and nothing else.
+    std::fs::remove_dir(&folder).unwrap();
+    new.terminate();
+    new.logged("nothing is handed over");
+    new.logged("left with 0 connections in hand");
+}
+
 /// Guards against connections that wait in the queue with nobody to take them when no process comes after.
 #[test]
 fn a_plain_stop_takes_who_still_comes() {
