--- a/tests/lines.rs
+++ b/tests/lines.rs
@@ -26,6 +26,46 @@
     assert_eq!(client.hear(), "END");
 }
 
+/// Guards against a reader that takes a piece for a whole line, on any of the sockets.
+#[test]
+fn pieces_of_one_byte_mean_the_same_on_every_socket() {
+    fn drip(peer: &mut Lines, text: &str) {
+        text.chars().for_each(|c| {
+            peer.say(&c.to_string());
+            std::thread::yield_now();
+        });
+    }
+    let (told, heard) = channel();
+    let dripping = instance(move |mut peer| {
+        let _ = told.send(peer.hear());
+        drip(&mut peer, "UP 1\r\nLOAD 5\r\n");
+        loop {
+            match peer.hear().as_str() {
+                "END" | "RESET" => return,
+                line => drip(&mut peer, &format!("{line}\r\n")),
+            }
+        }
+    });
+    let discovery = Discovery::quiet();
+    let balancer = Balancer::operated(&discovery, &[], None);
+    discovery.called();
+    listing(2, &[entry("s-00000001", dripping, "ready")])
+        .chars()
+        .for_each(|c| discovery.push(&c.to_string()));
+    balancer.logged("s-00000001 at");
+    let mut client = balancer.client();
+    drip(&mut client, "PING\r\n");
+    assert_eq!(client.hear(), "PONG");
+    drip(&mut client, "OPEN 1f 2e c=watch,d=2000\r\n");
+    assert_eq!((client.hear().as_str(), client.hear().as_str()), ("UP 1", "LOAD 5"));
+    assert!(heard.recv().unwrap().starts_with("OPEN 1f 2e c=watch,d="));
+    drip(&mut client, "one\r\n");
+    assert_eq!(client.hear(), "one");
+    let mut operator = Lines::to(balancer.admin.unwrap());
+    drip(&mut operator, "HEALTH\r\n");
+    assert_eq!(operator.rest(), "200 ready\r\n");
+}
+
 /// Guards against retries that overlap or go to one instance twice, and answers that are held back.
 #[test]
 fn what_is_refused_or_fails_goes_round_once_and_is_answered_at_once() {
