Split the broker: what a front is to it, a command's life, and the books

src/broker/mod.rs held three concepts in 870 lines. front.rs (94) has the traits and words of a front, command.rs (322) a command's life with the spans that only it knows, mod.rs (468) the books.

--- /dev/null
+++ b/src/broker/front.rs
@@ -0,0 +1,94 @@
+//! What a front is to the core: a side that faces service clients, one that faces instances, and the words that pass.
+
+use super::figures::Tally;
+use super::{Broker, Command};
+use crate::api::*;
+use std::net::SocketAddr;
+use std::rc::Rc;
+
+/// Why a command has failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// The module gave it up, and part of it may have run.
+    GivenUp,
+    /// No answer came before the service client's deadline.
+    Deadline,
+    /// The service client spoke before it had its answer.
+    OutOfTurn,
+}
+
+/// Why a command is over before its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Gone {
+    /// The service client has left.
+    Left,
+    /// It broke the protocol, and is owed a failure.
+    OutOfTurn,
+}
+
+/// How a standing connection ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// The instance has served it to its end.
+    Served,
+    /// The instance broke it.
+    Broken,
+    /// The service client left, or was asked to come again.
+    Left,
+}
+
+/// One attempt, as a front sees it.
+pub struct Execution {
+    /// The instance.
+    pub instance: HostId,
+    /// Its name.
+    pub name: Rc<str>,
+    /// Where it is reached.
+    pub address: SocketAddr,
+    /// When it is given up.
+    pub until: Micros,
+    pub(super) tally: Rc<Tally>,
+    pub(super) broker: Rc<Broker>,
+}
+
+impl Execution {
+    /// Whether the instance takes new work still: to be asked right before the first byte, since it may have
+    /// begun to drain while the connection was made.
+    pub fn still_open(&self) -> bool {
+        self.broker.state.borrow().instances.takes(self.instance)
+    }
+
+    /// Its first words were written whole: from now on it may run.
+    pub fn written(&self) {
+        self.tally.attempt();
+    }
+
+    /// What is left of its time.
+    pub fn left(&self) -> Micros {
+        self.until.saturating_sub(self.broker.now())
+    }
+}
+
+/// A front's side that faces instances.
+#[allow(async_fn_in_trait)] // one thread: no future needs to be `Send`
+pub trait Dialer {
+    /// An open connection to an instance that has accepted.
+    type Link;
+    /// Makes an execution; dropping the future gives it up and closes what it opened.
+    async fn execute(&self, execution: &Execution) -> Result<Self::Link, Outcome>;
+}
+
+/// A front's side that faces a service client.
+#[allow(async_fn_in_trait)]
+pub trait Client {
+    /// An open connection to an instance that has accepted.
+    type Link;
+    /// Ends when the service client has left, or has lost its claim to be served.
+    async fn gone(&mut self) -> Gone;
+    /// Passes everything on, both ways, until the connection ends.
+    async fn stand(&mut self, link: Self::Link, command: &mut Command) -> Ended;
+    /// Final answer: refused; come again after so long.
+    async fn nack(&mut self, after: Option<Micros>);
+    /// Final answer: failed.
+    async fn fail(&mut self, why: Failure);
+}
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -4,10 +4,12 @@
 //! The shop's words: a *command* is a request, an *execution* one attempt at it, an *instance* a session
 //! server, a *nack* a refusal, the *service client* whoever asks.
 
+mod command;
 pub mod core;
 pub mod deadlines;
 pub mod drain;
 pub mod figures;
+pub mod front;
 pub mod handover;
 pub mod instances;
 pub mod loads;
@@ -17,10 +19,12 @@
 use crate::contracts::{Change, Contracts, Terms};
 use crate::rebalance::Note;
 use crate::wire::Names;
+pub use command::{carry, carry_on, Command, SILENT};
 use core::Core;
 use deadlines::{Clock, Deadlines, Wait};
 use drain::Drain;
-use figures::{End, Figures, Members, Tally};
+use figures::{Figures, Members, Tally};
+pub use front::{Client, Dialer, Ended, Execution, Failure, Gone};
 use handover::Stand;
 use instances::{Instances, Listing};
 use std::cell::{Cell, RefCell};
@@ -34,17 +38,6 @@
 const CONNECTION: usize = 2;
 /// Answers leave this long before the service client gives up, so that they arrive in time.
 const ANSWER_AHEAD: Micros = 15_000;
-/// News of slow messages comes once a second and instance, as the module's event means it.
-const SLOW_EVERY: Micros = 1_000_000;
-/// A load is told with `UP`: a figure that comes later than this after it is no opening one. At an instance that
-/// is overloaded the first that comes may be a time, for a connection that is idle tells no load.
-const OPENING: Micros = 50_000;
-/// A connection on which an instance brings nothing back for a message is ended after this long: it may have
-/// stopped up to two seconds before the message, and is owed its end within seven.
-pub const SILENT: Micros = 4_500_000;
-/// And sooner where the instance works, for others heard of it meanwhile: then this connection alone has stopped.
-const ALONE: Micros = 3_000_000;
-
 /// What the core asks of the network beside executions.
 #[derive(Debug)]
 pub enum Order {
@@ -65,201 +58,9 @@
     Move,
 }
 
-/// Why a command has failed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Failure {
-    /// The module gave it up, and part of it may have run.
-    GivenUp,
-    /// No answer came before the service client's deadline.
-    Deadline,
-    /// The service client spoke before it had its answer.
-    OutOfTurn,
-}
-
-/// Why a command is over before its answer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Gone {
-    /// The service client has left.
-    Left,
-    /// It broke the protocol, and is owed a failure.
-    OutOfTurn,
-}
-
-/// How a standing connection ended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Ended {
-    /// The instance has served it to its end.
-    Served,
-    /// The instance broke it.
-    Broken,
-    /// The service client left, or was asked to come again.
-    Left,
-}
-
-/// One attempt, as a front sees it.
-pub struct Execution {
-    /// The instance.
-    pub instance: HostId,
-    /// Its name.
-    pub name: Rc<str>,
-    /// Where it is reached.
-    pub address: SocketAddr,
-    /// When it is given up.
-    pub until: Micros,
-    tally: Rc<Tally>,
-    broker: Rc<Broker>,
-}
-
-impl Execution {
-    /// Whether the instance takes new work still: to be asked right before the first byte, since it may have
-    /// begun to drain while the connection was made.
-    pub fn still_open(&self) -> bool {
-        self.broker.state.borrow().instances.takes(self.instance)
-    }
-
-    /// Its first words were written whole: from now on it may run.
-    pub fn written(&self) {
-        self.tally.attempt();
-    }
-
-    /// What is left of its time.
-    pub fn left(&self) -> Micros {
-        self.until.saturating_sub(self.broker.now())
-    }
-}
-
-/// A front's side that faces instances.
-#[allow(async_fn_in_trait)] // one thread: no future needs to be `Send`
-pub trait Dialer {
-    /// An open connection to an instance that has accepted.
-    type Link;
-    /// Makes an execution; dropping the future gives it up and closes what it opened.
-    async fn execute(&self, execution: &Execution) -> Result<Self::Link, Outcome>;
-}
-
-/// A front's side that faces a service client.
-#[allow(async_fn_in_trait)]
-pub trait Client {
-    /// An open connection to an instance that has accepted.
-    type Link;
-    /// Ends when the service client has left, or has lost its claim to be served.
-    async fn gone(&mut self) -> Gone;
-    /// Passes everything on, both ways, until the connection ends.
-    async fn stand(&mut self, link: Self::Link, command: &mut Command) -> Ended;
-    /// Final answer: refused; come again after so long.
-    async fn nack(&mut self, after: Option<Micros>);
-    /// Final answer: failed.
-    async fn fail(&mut self, why: Failure);
-}
-
 /// Refused before anything was spent on it, by its contract or for want of descriptors; come again after so long.
 struct Refused(Option<Micros>);
 
-/// A command's life, from its arrival to its final answer and on to the end of its connection.
-pub async fn carry<C, D>(broker: &Rc<Broker>, demand: Demand, team: Option<&str>, client: &mut C, dialer: &D)
-where
-    C: Client,
-    D: Dialer<Link = C::Link>,
-{
-    let tally = broker.tally(demand.class);
-    let mut command = match broker.take(demand, team) {
-        Ok(command) => command,
-        Err(Refused(after)) => {
-            tally.ends(End::Rejected);
-            return client.nack(after).await;
-        }
-    };
-    let link = loop {
-        // The module's next word: it may be waiting for a probe.
-        let word = tokio::select! {
-            biased;
-            word = command.word() => word,
-            gone = client.gone() => return command.gone(gone, client).await,
-        };
-        let (instance, patience) = match word {
-            Word::Execute { instance, patience } => (instance, patience),
-            Word::Nack(after) => {
-                tally.ends(End::Rejected);
-                return client.nack(after).await;
-            }
-            Word::Fail => {
-                tally.ends(End::Failed);
-                return client.fail(command.failure()).await;
-            }
-            Word::Move => continue,
-        };
-        let Some(execution) = command.begin(instance, patience, &tally) else { continue };
-        let came = tokio::select! {
-            biased;
-            came = dialer.execute(&execution) => came,
-            () = broker.until(execution.until) => Err(Outcome::Timeout),
-            // Dropping `execute` closes the attempt before its end is told: never two outstanding.
-            gone = client.gone() => return command.gone(gone, client).await,
-        };
-        match came {
-            Ok(link) => break link,
-            Err(outcome) => command.finished(outcome),
-        }
-    };
-    command.opened();
-    tally.ends(End::Completed);
-    let ended = client.stand(link, &mut command).await;
-    command.ended(ended);
-}
-
-/// A connection that stood at this instance before the program started: it goes there and nowhere else, as
-/// often as it takes until the client's time is up.
-pub async fn carry_on<C, D>(
-    broker: &Rc<Broker>,
-    demand: Demand,
-    team: Option<&str>,
-    instance: HostId,
-    client: &mut C,
-    dialer: &D,
-) where
-    C: Client,
-    D: Dialer<Link = C::Link>,
-{
-    let tally = broker.tally(demand.class);
-    let Some(_both) = broker.descriptors(CONNECTION) else {
-        tally.ends(End::Rejected);
-        return client.nack(None).await;
-    };
-    let until = broker.now().saturating_add(demand.left).saturating_sub(ANSWER_AHEAD);
-    let link = loop {
-        let tried = async {
-            let execution = broker.execution(instance, until, &tally)?;
-            dialer.execute(&execution).await.ok()
-        };
-        let came = tokio::select! {
-            biased;
-            came = tried => came,
-            () = broker.until(until) => return client.fail(Failure::Deadline).await,
-            gone = client.gone() => return part(gone, client).await,
-        };
-        match came {
-            Some(link) => break link,
-            None => broker.until(broker.now() + ADOPT_AGAIN).await,
-        }
-        if broker.now() >= until {
-            return client.fail(Failure::Deadline).await;
-        }
-    };
-    tally.ends(End::Completed);
-    let mut command = broker.adopt(demand, team, instance);
-    let ended = client.stand(link, &mut command).await;
-    command.ended(ended);
-}
-
-async fn part<C: Client>(gone: Gone, client: &mut C) {
-    if gone == Gone::OutOfTurn {
-        client.fail(Failure::OutOfTurn).await
-    }
-}
-
-/// Between two tries to take up a connection that stood before.
-const ADOPT_AGAIN: Micros = 200_000;
-
 #[derive(Default)]
 struct State {
     core: Core,
@@ -665,201 +466,3 @@
         self.0.descriptors.set(self.0.descriptors.get() + self.1);
     }
 }
-
-/// One command in hand. Whatever becomes of it, its execution gives exactly one `Finished`, and the module
-/// is told when it is over: at the latest when this is dropped.
-pub struct Command {
-    broker: Rc<Broker>,
-    id: CallId,
-    heard: UnboundedReceiver<Word>,
-    deadline: Micros,
-    late: bool,
-    /// The execution that is out, and since when.
-    out: Option<(HostId, Micros)>,
-    executions: u32,
-    /// Its load has been told.
-    loaded: bool,
-    stands: bool,
-    over: bool,
-    /// Its own and its link's.
-    descriptors: Option<Descriptors>,
-}
-
-impl Command {
-    /// The core.
-    pub fn broker(&self) -> &Rc<Broker> {
-        &self.broker
-    }
-
-    /// The next word; at the deadline, failed: the service client is owed an answer before it gives up.
-    async fn word(&mut self) -> Word {
-        let word = tokio::select! {
-            biased;
-            word = self.heard.recv() => word,
-            () = self.broker.until(self.deadline) => {
-                self.late = true;
-                None
-            }
-        };
-        match word {
-            Some(word) => {
-                self.over |= matches!(word, Word::Nack(_) | Word::Fail);
-                word
-            }
-            None => {
-                self.vanish();
-                Word::Fail
-            }
-        }
-    }
-
-    fn failure(&self) -> Failure {
-        if self.late {
-            Failure::Deadline
-        } else {
-            Failure::GivenUp
-        }
-    }
-
-    /// The execution that the module asked for; none where the instance has left the list meanwhile.
-    fn begin(&mut self, instance: HostId, patience: Micros, tally: &Rc<Tally>) -> Option<Execution> {
-        let now = self.broker.now();
-        self.out = Some((instance, now));
-        self.executions += 1;
-        let until = now.saturating_add(patience).min(self.deadline);
-        let execution = self.broker.execution(instance, until, tally);
-        if execution.is_none() {
-            self.finished(Outcome::Moot);
-        }
-        execution
-    }
-
-    fn finish(&mut self, outcome: Outcome, ended: bool) {
-        let Some((host, since)) = self.out.take() else { return };
-        let (call, attempt) = (self.id.clone(), self.executions - 1);
-        let elapsed = self.broker.now().saturating_sub(since);
-        self.broker.tell(Event::Finished { call, attempt, host, outcome, elapsed, ended });
-    }
-
-    fn finished(&mut self, outcome: Outcome) {
-        self.finish(outcome, false);
-    }
-
-    fn opened(&mut self) {
-        if let Some((host, since)) = self.out {
-            let elapsed = self.broker.now().saturating_sub(since);
-            self.broker.tell(Event::Opened { call: self.id.clone(), host, elapsed });
-        }
-        self.stand();
-    }
-
-    fn stand(&mut self) {
-        self.stands = true;
-        self.broker.state.borrow_mut().standing.push_back(self.id.clone());
-    }
-
-    fn ended(&mut self, how: Ended) {
-        self.over = true;
-        let outcome = match how {
-            Ended::Served => Outcome::Ok,
-            Ended::Broken => Outcome::Reset,
-            Ended::Left => Outcome::Cancelled,
-        };
-        self.finish(outcome, true);
-    }
-
-    fn vanish(&mut self) {
-        if !std::mem::replace(&mut self.over, true) {
-            self.broker.tell(Event::Vanished { call: self.id.clone() });
-        }
-        self.finish(Outcome::Cancelled, true);
-    }
-
-    /// The attempt's end is told before the service client is: never two outstanding.
-    async fn gone<C: Client>(mut self, gone: Gone, client: &mut C) {
-        self.vanish();
-        part(gone, client).await
-    }
-
-    /// Ends when the service client is to be asked to come again.
-    pub async fn moved(&mut self) {
-        loop {
-            match self.heard.recv().await {
-                Some(Word::Move) => return,
-                Some(_) => {}
-                None => std::future::pending().await,
-            }
-        }
-    }
-
-    /// A figure that its instance tells on the connection: the load of this one, or, where the settings say so
-    /// and it looks like one, how long messages take there. A load is told once when the connection opens.
-    pub fn told(&mut self, figure: f64) {
-        let Some((host, since)) = self.out else { return };
-        let now = self.broker.now();
-        // Among few balancers others tell of the instance too, and one idle connection must not speak for it.
-        let (many, window) = (self.broker.many, if self.broker.many { OPENING } else { SLOW_EVERY });
-        let opening = !std::mem::replace(&mut self.loaded, true) && now < since.saturating_add(window);
-        let young = many && now < since.saturating_add(SLOW_EVERY);
-        if self.broker.delays_told && !opening {
-            let mut state = self.broker.state.borrow_mut();
-            let delay = state.instances.get_mut(host).and_then(|i| i.pulse.delay(now, figure, young));
-            drop(state);
-            if let Some(delay) = delay {
-                return self.broker.tell(Event::DelayNote { host, delay });
-            }
-        }
-        self.broker.tell(Event::LoadNote { call: self.id.clone(), load: figure });
-    }
-
-    /// A message has been out for so long; whether its connection is to be ended for it. Unless others hear of
-    /// the instance meanwhile, the module is told, once a second and instance.
-    pub fn silent(&self, span: Micros) -> bool {
-        let Some((host, _)) = self.out else { return true };
-        let now = self.broker.now();
-        {
-            let mut state = self.broker.state.borrow_mut();
-            let Some(instance) = state.instances.get_mut(host) else { return span >= SILENT };
-            if instance.heard > now.saturating_sub(span) {
-                // It works: what is wrong is with this connection, and no reason to leave the instance.
-                return span >= ALONE;
-            }
-            if span < SLOW_EVERY || instance.slow.is_some_and(|told| now < told.saturating_add(SLOW_EVERY)) {
-                return span >= SILENT;
-            }
-            instance.slow = Some(now);
-        }
-        self.broker.tell(Event::DelayNote { host, delay: span });
-        span >= SILENT
-    }
-
-    /// A message came back after so long. The module hears of it where it has heard of silence. How long it
-    /// took says nothing else: an instance returns it at once however much work is piled up there, and what we
-    /// see are delays of our own.
-    pub fn heard(&self, span: Micros) {
-        let Some((host, _)) = self.out else { return };
-        {
-            let mut state = self.broker.state.borrow_mut();
-            let Some(instance) = state.instances.get_mut(host) else { return };
-            instance.heard = self.broker.now();
-            if instance.slow.take().is_none() {
-                return;
-            }
-        }
-        self.broker.tell(Event::DelayNote { host, delay: span });
-    }
-}
-
-impl Drop for Command {
-    fn drop(&mut self) {
-        // A connection that ends in no other way, even by a bug of ours, must not stay on the books.
-        if self.out.is_some() || !self.over {
-            self.vanish();
-        }
-        let mut state = self.broker.state.borrow_mut();
-        state.commands.remove(&self.id);
-        if self.stands {
-            state.standing.retain(|id| *id != self.id);
-        }
-    }
-}
