Count open connections of every front, so that none is cut off at an early end

Found by reading the change once more: a process on a shared socket ended when its last line connection had, counted in serve/mod.rs round the line front alone; XMPP clients who still stood were cut off without a word. A story shows it (log in, SIGTERM, wanted the stream error, had the bare end). net::accept counts now, for every front. Beside it: what is inherited has the core looked at like all else, and Instances::listed takes the place of len and an unused is_empty.

The story passes; all tests and clippy pass.

--- a/src/broker/instances.rs
+++ b/src/broker/instances.rs
@@ -186,15 +186,10 @@
     }
 
     /// How many the list names.
-    pub fn len(&self) -> usize {
+    pub fn listed(&self) -> usize {
         self.by_id.len()
     }
 
-    /// Whether it names none.
-    pub fn is_empty(&self) -> bool {
-        self.by_id.is_empty()
-    }
-
     /// One of them.
     pub fn get(&self, id: HostId) -> Option<&Instance> {
         self.by_id.get(&id)
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -379,7 +379,7 @@
 
     fn members(&self) -> Members {
         let state = self.state.borrow();
-        let (listed, takes) = (state.instances.len(), state.core.takes(self.now()));
+        let (listed, takes) = (state.instances.listed(), state.core.takes(self.now()));
         Members { listed, avoided: listed.saturating_sub(takes) }
     }
 
@@ -401,7 +401,9 @@
 
     /// What stands at the process before this one.
     pub fn inherit(&self, stands: Vec<Stand>) {
-        self.state.borrow_mut().core.inherit(self.now(), stands);
+        let state = &mut *self.state.borrow_mut();
+        state.core.inherit(self.now(), stands);
+        self.look(state);
     }
 
     /// The process before this one has ended.
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -44,10 +44,15 @@
 /// So many connections are accepted in a row before those that are there have their turn.
 const ROW: usize = 16;
 
-/// Accepts for ever. A lack of descriptors, ours or the system's, is survived: it is logged once each time it
+/// Accepts for ever, and counts what is open. A lack of descriptors, ours or the system's, is survived: it is logged once each time it
 /// begins, and accepting pauses until connections have ended.
-pub async fn accept<F, S>(broker: Rc<Broker>, listener: Listener, what: &'static str, serve: F)
-where
+pub async fn accept<F, S>(
+    broker: Rc<Broker>,
+    listener: Listener,
+    connections: Connections,
+    what: &'static str,
+    serve: F,
+) where
     F: Fn(TcpStream, SocketAddr) -> S,
     S: Future<Output = ()> + 'static,
 {
@@ -62,7 +67,11 @@
                 failing = false;
                 // Lines are short and wanted at once.
                 let _ = stream.set_nodelay(true);
-                spawn_local(serve(stream, from));
+                let (connection, serving) = (connections.one(), serve(stream, from));
+                spawn_local(async move {
+                    serving.await;
+                    drop(connection);
+                });
             }
             Err(e) => {
                 if !std::mem::replace(&mut failing, true) {
@@ -74,7 +83,7 @@
     }
 }
 
-/// How many connections of a front are open, from their acceptance to their end.
+/// How many connections are open, from their acceptance to their end.
 #[derive(Clone, Default)]
 pub struct Connections(Rc<Cell<usize>>);
 
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -108,21 +108,14 @@
     spawn_local(async move { keeper.keep_drain().await });
     let guests = lobby.clone();
     let connections = Connections::default();
-    let counted = connections.clone();
-    let serve = move |stream, from| {
-        let (guests, connection) = (guests.clone(), counted.one());
-        async move {
-            net::platform::serve(guests, stream, from).await;
-            drop(connection);
-        }
-    };
+    let serve = move |stream, from| net::platform::serve(guests.clone(), stream, from);
     if let Some(file) = operator.xmpp {
         let address = file.listen.ok_or("the XMPP front has no address")?;
         let front = Rc::new(Front::new(broker.clone(), file)?);
         let listener = Listener::bind(address).await?;
         let at = listener.at()?;
         let serve = move |stream, from| net::xmpp::serve(front.clone(), lobby.clone(), stream, from);
-        spawn_local(net::accept(broker.clone(), listener, "xmpp clients", serve));
+        spawn_local(net::accept(broker.clone(), listener, connections.clone(), "xmpp clients", serve));
         tracing::info!("{} serves XMPP on {at}", config.name);
     }
 
@@ -135,11 +128,12 @@
         let lobby = Lobby::new(broker.clone(), admin::SEATS);
         let inside = Door::new(Operations::new(broker.clone()), lobby);
         let serve = move |stream, from| admin::serve(inside.clone(), stream, from);
-        door.spawn_local(net::accept(broker.clone(), listener, "operators", serve));
+        door.spawn_local(net::accept(broker.clone(), listener, Connections::default(), "operators", serve));
         tracing::info!("{} answers operators on {at}", config.name);
     }
 
     let (host, name, left) = (broker.clone(), config.name.clone(), place.clone());
+    let counted = connections.clone();
     let clients = async move {
         if shared {
             // An older process serves meanwhile: there is time to hear what has changed.
@@ -153,7 +147,7 @@
         if let Some(place) = left {
             spawn_local(upgrade::take_up(host.clone(), place, name));
         }
-        net::accept(host, listener, "clients", serve).await
+        net::accept(host, listener, counted, "clients", serve).await
     };
     spawn_local(clients);
 
--- a/tests/xmpp.rs
+++ b/tests/xmpp.rs
@@ -82,6 +82,23 @@
     client
 }
 
+/// Guards against a process that shares the other front's socket and ends while XMPP clients still stand.
+#[test]
+fn a_process_that_ends_early_waits_for_xmpp_clients_too() {
+    let (told, _) = channel();
+    let at = server("a", SUCCESS, told);
+    let socket = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let text = file(&[("s-00000001", at)], "");
+    let list = [entry("s-00000001", nobody(), "ready")];
+    let start = Start { operator: Some(&text), socket: Some(&socket), ..Start::default() };
+    let balancer = Balancer::launch(&Discovery::quiet(), &list, start).up();
+    let mut client = stand(&balancer, "user");
+    balancer.terminate();
+    let last = client.until("</stream:stream>");
+    assert!(last.contains("<stream:error>"), "{last}");
+    balancer.logged("left with 0 connections in hand");
+}
+
 /// Guards against a front whose commands are not counted, or twice.
 #[test]
 fn figures_count_xmpp_like_text() {
