Keep groups together on the full fleet, and read no load as a time

A group stood on 2.0 servers at the start and on 6.7 at the end; each part costs three mean connections, so groups cost 50 cores beside 43 of all connections, on 120 warm ones. New servers held 100 connections of 780 after 20 s.

Set-up times (median 66 to 79 ms) and probes (20 ms) hardly tell an overloaded server from an idle one.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -26,11 +26,11 @@
 const STEADY: f64 = 0.35;
 /// Part of the rule on cold hosts that nodes which see little use together, and the life that a connection is
 /// held to have: so long fills a host by its size (in standard cores, of which loads are counted).
-const SAFE: f64 = 0.75;
+const SAFE: f64 = 1.0;
 const LIFE: f64 = 60e6;
 /// Part of the sizes of all hosts, cold ones as they are, up to which nodes that see little let clients in:
 /// the rest goes to groups that many hosts pay for, to set-ups and to chance. Hurts where sizes are no cores.
-const FULL: f64 = 0.3;
+const FULL: f64 = 0.2;
 /// Token of the timer that asks for the list again, and of those that end a probe: the host is added.
 const T_ASK: u64 = 1;
 const T_PROBE: u64 = 1 << 32;
@@ -57,10 +57,6 @@
 /// How many hosts a walk passes, and how many if none has room and so many nodes or fewer share them. Each
 /// copy of a group costs, but less than to refuse while a host is idle. The first holds for probes too.
 pub(crate) const SPREAD: (u32, u32) = (3, 8);
-/// A client that is back most likely left an overloaded host. A node that sees little does not know of it:
-/// with at most this chance it passes the home, and as likely each further host, for if all who left go to
-/// the next one it is overloaded too. Hurts where clients are back for another reason.
-const ASTRAY: f64 = 0.5;
 /// Where nobody tells how long messages take, no ceiling is learned: a host is held to carry this part of its
 /// registered size (in standard cores, of which loads are counted), and a node its even part of that. What is
 /// past the second figure times it is moved off. Hurts where sizes are no cores: too large ones do nothing.
@@ -87,8 +83,9 @@
 /// What a server pays for any part of a group, in mean connections, of which a node is charged its part, at
 /// most two. The cost is not told; charged whole at each of a hundred nodes it would scatter all groups.
 const GROUP: f64 = 6.0;
-/// A group is cut into pieces of this many servers' even share: every further piece costs one more server.
-const PIECE: f64 = 2.0;
+/// A group is cut into pieces of this many servers' even share: every further piece costs one more server. The
+/// second where a node sees little: all nodes' guesses, one arrival apart, scatter a group over as many pieces.
+const PIECE: (f64, f64) = (2.0, 4.0);
 /// How alike in size groups are held to be before much of one is seen (shape of a gamma distribution), and
 /// how many pairs of requests the first guess at their mean size is worth.
 const ALIKE: f64 = 2.0;
@@ -203,8 +200,6 @@
     grouped: bool,
     /// Back after a break or a move, or known to repeat.
     returned: bool,
-    /// Back, and by chance to pass so many hosts that would have it: see `ASTRAY`.
-    astray: u32,
     deadline: Micros,
     /// Time since the arrival before it.
     gap: Micros,
@@ -583,7 +578,6 @@
                 point = xxh64(&piece.to_le_bytes(), point);
             }
         }
-        let back = ASTRAY * self.sparse();
         let call = Call {
             class: d.class.min(self.settings.classes.len()),
             tenant: d.tenant.filter(|&t| t < self.settings.tenants.len()),
@@ -592,7 +586,6 @@
             own,
             grouped: d.group.is_some(),
             returned: d.returned || d.repeat,
-            astray: (0..SPREAD.1).take_while(|_| d.returned && self.chance() < back).count() as u32,
             deadline: now.saturating_add(d.left),
             gap: now.saturating_sub(self.surge.1),
             mid_flow: d.mid_flow,
@@ -613,7 +606,7 @@
         }
         let mean = (self.pairs + PAIRS / hosts) / (n * (n - 1.0) + PAIRS);
         let part = (k - 1.0 + ALIKE) / (n - 1.0 + ALIKE / mean);
-        (part * hosts / PIECE).round().clamp(1.0, hosts) as u32
+        (part * hosts / if self.little() { PIECE.1 } else { PIECE.0 }).round().clamp(1.0, hosts) as u32
     }
 
     fn successors(&self, point: u64) -> impl Iterator<Item = HostId> + '_ {
@@ -743,7 +736,7 @@
         // square: a host pays the same for a group or a heavy connection whatever its size.
         let little = self.little();
         let largest = self.ready().filter(|_| little).map(|h| self.size_of(h)).fold(0.0, f64::max);
-        let (mut ejected, mut spare, mut home, mut full, mut passed) = (None, None, None, 0, 0);
+        let (mut ejected, mut spare, mut home, mut full) = (None, None, None, 0);
         for id in self.walk(c.point) {
             let Some(h) = self.hosts.get(&id) else { continue };
             let home = *home.get_or_insert(id) == id;
@@ -757,17 +750,15 @@
             let joins = c.grouped && !h.groups.contains_key(&c.point);
             let load = self.load_in(&h.book) + if joins { self.group_cost() * mean } else { 0.0 };
             let small = c.place(!id).sqrt() * largest >= self.size_of(h);
-            let astray = passed < c.astray && h.ceiling.0.is_infinite();
             let fits = load + c.turn(id, home, little) * self.load(c) < part * self.ceiling(now, h);
             let busy = c.probes > 0 && h.fresh(now) && h.load > BUSY.0;
-            if fits && !small && !astray && !busy && load < share * self.size_of(h) + SLACK * mean {
+            if fits && !small && !busy && load < share * self.size_of(h) + SLACK * mean {
                 return Some(id);
             }
             if fits {
                 spare.get_or_insert(id);
             }
-            passed += u32::from(!small);
-            full += u32::from(!small && !astray);
+            full += u32::from(!small);
             let far = spare.is_none() && self.settings.peers_total <= SPREAD.1;
             if full >= if far { SPREAD.1 } else { SPREAD.0 } {
                 break;
--- a/src/broker/command.rs
+++ b/src/broker/command.rs
@@ -255,12 +255,11 @@
         let Some((host, since)) = self.out else { return };
         let now = self.broker.now();
         // Among few balancers others tell of the instance too, and one idle connection must not speak for it.
-        let (many, window) = (self.broker.many, if self.broker.many { OPENING } else { SLOW_EVERY });
+        let window = if self.broker.many { OPENING } else { SLOW_EVERY };
         let opening = !std::mem::replace(&mut self.loaded, true) && now < since.saturating_add(window);
-        let young = many && now < since.saturating_add(SLOW_EVERY);
         if self.broker.delays_told && !opening {
             let mut state = self.broker.state.borrow_mut();
-            let delay = state.instances.get_mut(host).and_then(|i| i.pulse.delay(now, figure, young));
+            let delay = state.instances.get_mut(host).and_then(|i| i.pulse.delay(now, figure));
             drop(state);
             if let Some(delay) = delay {
                 return self.broker.tell(Event::DelayNote { host, delay });
