--- /dev/null
+++ b/src/group/record.rs
@@ -0,0 +1,223 @@
+//! What the fleet has decided: a small state, changed only by commands that a majority of the voters has kept.
+//!
+//! Promised: the same commands in the same order give the same state, whatever the clock says; a token never falls and is
+//! never given twice. Both are written as JSON with names: a neighbouring version passes over what it does not know and
+//! takes the usual for what it misses. A command's kind may be proposed only by a release whose neighbour knows it.
+
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+
+/// A task's name, and a holder's, are no longer than this.
+pub const LONGEST: usize = 64;
+/// So many tasks are known at most.
+pub const TASKS: usize = 8;
+
+/// A lease on a task.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Lease {
+    /// Who holds it.
+    pub holder: Option<String>,
+    /// The token of the latest grant.
+    pub token: u64,
+    /// How often it was renewed, the grant included: whoever frees it says which renewal it saw last.
+    pub renewals: u64,
+}
+
+/// The record.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(default)]
+pub struct State {
+    /// How many commands have changed it.
+    pub version: u64,
+    /// The highest token given.
+    pub tokens: u64,
+    /// By task.
+    pub leases: BTreeMap<String, Lease>,
+}
+
+/// A change that is asked for.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Command {
+    /// Somebody wants a task; from its holder it is a renewal.
+    Acquire {
+        /// The task.
+        task: String,
+        /// Who asks.
+        holder: String,
+    },
+    /// Its holder goes on.
+    Renew {
+        /// The task.
+        task: String,
+        /// The token of its grant.
+        token: u64,
+    },
+    /// Its holder gives it back.
+    Return {
+        /// The task.
+        task: String,
+        /// The token of its grant.
+        token: u64,
+    },
+    /// The leader has waited for the holder's span.
+    Free {
+        /// The task.
+        task: String,
+        /// The token of the grant that is over.
+        token: u64,
+        /// The last renewal that the leader had seen.
+        renewals: u64,
+    },
+}
+
+/// What a command came to.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Outcome {
+    /// The asker holds the task under this token.
+    Granted(u64),
+    /// Somebody else does.
+    Held(String),
+    /// It was given back or freed.
+    Done,
+    /// The token is not that of the holder, or the name is no name.
+    Stale,
+}
+
+impl State {
+    /// Changes the state by one command.
+    pub fn apply(&mut self, command: &Command) -> Outcome {
+        let outcome = self.change(command);
+        if matches!(outcome, Outcome::Granted(_) | Outcome::Done) {
+            self.version += 1;
+        }
+        outcome
+    }
+
+    fn change(&mut self, command: &Command) -> Outcome {
+        match command {
+            Command::Acquire { task, holder } => {
+                let full = self.leases.len() >= TASKS && !self.leases.contains_key(task);
+                let named = |text: &str| !text.is_empty() && text.len() <= LONGEST;
+                if full || !named(task) || !named(holder) {
+                    return Outcome::Stale;
+                }
+                let lease = self.leases.entry(task.clone()).or_default();
+                match &lease.holder {
+                    Some(other) if other != holder => return Outcome::Held(other.clone()),
+                    Some(_) => {}
+                    None => {
+                        self.tokens += 1;
+                        (lease.holder, lease.token, lease.renewals) = (Some(holder.clone()), self.tokens, 0);
+                    }
+                }
+                lease.renewals += 1;
+                Outcome::Granted(lease.token)
+            }
+            Command::Renew { task, token } => match self.held(task, *token) {
+                Some(lease) => {
+                    lease.renewals += 1;
+                    Outcome::Granted(*token)
+                }
+                None => Outcome::Stale,
+            },
+            Command::Return { task, token } => match self.held(task, *token) {
+                Some(lease) => {
+                    lease.holder = None;
+                    Outcome::Done
+                }
+                None => Outcome::Stale,
+            },
+            Command::Free { task, token, renewals } => match self.held(task, *token) {
+                Some(lease) if lease.renewals == *renewals => {
+                    lease.holder = None;
+                    Outcome::Done
+                }
+                _ => Outcome::Stale,
+            },
+        }
+    }
+
+    fn held(&mut self, task: &str, token: u64) -> Option<&mut Lease> {
+        self.leases.get_mut(task).filter(|lease| lease.holder.is_some() && lease.token == token)
+    }
+
+    /// As bytes.
+    pub fn write(&self) -> Vec<u8> {
+        serde_json::to_vec(self).unwrap_or_default()
+    }
+
+    /// From bytes.
+    pub fn read(bytes: &[u8]) -> Option<State> {
+        serde_json::from_slice(bytes).ok()
+    }
+}
+
+impl Command {
+    /// As bytes.
+    pub fn write(&self) -> Vec<u8> {
+        serde_json::to_vec(self).unwrap_or_default()
+    }
+
+    /// From bytes.
+    pub fn read(bytes: &[u8]) -> Option<Command> {
+        serde_json::from_slice(bytes).ok()
+    }
+}
+
+#[cfg(test)]
+mod tests {
+    use super::*;
+    use proptest::prelude::*;
+
+    fn command() -> impl Strategy<Value = Command> {
+        let task = prop::sample::select(vec!["a", "b"]).prop_map(String::from);
+        let holder = prop::sample::select(vec!["x", "y"]).prop_map(String::from);
+        let token = 0u64..6;
+        prop_oneof![
+            (task.clone(), holder).prop_map(|(task, holder)| Command::Acquire { task, holder }),
+            (task.clone(), token.clone()).prop_map(|(task, token)| Command::Renew { task, token }),
+            (task.clone(), token.clone()).prop_map(|(task, token)| Command::Return { task, token }),
+            (task, token, 0u64..4).prop_map(|(task, token, renewals)| Command::Free {
+                task,
+                token,
+                renewals
+            }),
+        ]
+    }
+
+    proptest! {
+        /// Guards against a token that falls or is given to two, and against a state that its own bytes do not give back.
+        #[test]
+        fn tokens_only_grow_and_each_has_one_holder(commands in prop::collection::vec(command(), 0..60)) {
+            let (mut state, mut given) = (State::default(), BTreeMap::<u64, (String, String)>::new());
+            for command in commands {
+                let before = state.clone();
+                let outcome = state.apply(&command);
+                prop_assert!(state.tokens >= before.tokens);
+                prop_assert_eq!(state.version > before.version, state != before);
+                if let (Command::Acquire { task, holder }, Outcome::Granted(token)) = (&command, &outcome) {
+                    let to = (task.clone(), holder.clone());
+                    prop_assert_eq!(given.entry(*token).or_insert(to.clone()), &to);
+                }
+                prop_assert_eq!(State::read(&state.write()), Some(state.clone()));
+                prop_assert_eq!(Command::read(&command.write()), Some(command));
+            }
+        }
+
+        /// Guards against a panic on bytes that somebody made up.
+        #[test]
+        fn junk_is_no_state_and_no_command(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+            let _ = (State::read(&bytes), Command::read(&bytes));
+        }
+    }
+
+    /// Guards against a neighbouring version that cannot read what this one has written.
+    #[test]
+    fn what_a_neighbour_adds_is_passed_over_and_what_it_lacks_is_the_usual() {
+        let newer = br#"{"version":3,"tokens":2,"plans":[1],"leases":{"a":{"holder":"x","token":2,"renewals":1,"by":7}}}"#;
+        let state = State::read(newer).unwrap();
+        assert_eq!((state.version, state.leases["a"].token), (3, 2));
+        assert_eq!(State::read(b"{}"), Some(State::default()));
+    }
+}
