Find out who is there: membership by SWIM under the fleet's key, without I/O

src/peers/: foca driven by packets and the time; names are the addresses, of two processes under one name the later counts; a book of this process's own says where a name is reached. seal.rs: HMAC-SHA256 cut to 16 bytes, the key from a file of mode 0600, datagrams of at most 1,400 bytes. Nine members in one thread: all found within 6 probes, one missed and back, a partition of three and six seen by both and healed; a link cut one way with a tenth of all else lost takes nobody out. Nothing opens a socket yet.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod logging;
 pub mod net;
 pub mod operator;
+pub mod peers;
 pub mod rebalance;
 pub mod serve;
 pub mod wire;
