Keep the fleet's record by a majority: voters over tikv's raft, folders by redb

A voter without a folder does not vote; group found makes one, once. Shown in one thread: decisions outlive kills of all voters and a cut log; a full folder silences its voter; a minority decides nothing; 12 seeds of a minute with 15% loss and as much doubling, cuts, kills and restarts: never two holders at once, no token falls, over 100 grants; a folder cut short is refused or whole. openraft was weighed and left: it wants an async runtime of its own, tikv's raft is stepped by hand in tests.

--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -4,5 +4,7 @@
 //! ([`lease`] says what that rests on); nobody's clients wait for any of it. Not promised: progress without a majority.
 //! docs/group.md weighs the ways and has the operators' page.
 
+pub mod folder;
 pub mod lease;
 pub mod record;
+pub mod voter;
--- /dev/null
+++ b/src/group/voter_tests.rs
@@ -0,0 +1,290 @@
+//! Voters in one thread, over a net that loses, doubles and cuts by a seed; folders that fail and are put back.
+
+use super::super::folder::Folder;
+use super::super::lease::Holder;
+use super::*;
+use raft::eraftpb::HardState;
+use std::cell::RefCell;
+use std::rc::Rc;
+
+/// A folder in memory that outlives its voter, and fails when told to.
+#[derive(Clone, Default)]
+struct Memory(Rc<RefCell<(Kept, bool)>>);
+
+impl Keep for Memory {
+    fn save(
+        &mut self,
+        entries: &[Entry],
+        hard: Option<&HardState>,
+        snapshot: Option<&Snapshot>,
+        first: Option<u64>,
+    ) -> Result<(), String> {
+        let (kept, full) = &mut *self.0.borrow_mut();
+        if *full {
+            return Err("no room left".into());
+        }
+        if let Some(entry) = entries.first() {
+            kept.entries.retain(|e| e.index < entry.index);
+            kept.entries.extend_from_slice(entries);
+        }
+        hard.into_iter().for_each(|hard| kept.hard = hard.clone());
+        snapshot.into_iter().for_each(|snapshot| kept.snapshot = snapshot.clone());
+        first.into_iter().for_each(|first| kept.entries.retain(|e| e.index > first));
+        Ok(())
+    }
+}
+
+const TERMS: Terms = Terms { span: 2_000_000, drift: 10_000 };
+
+struct Net {
+    now: Micros,
+    names: Vec<String>,
+    kept: Vec<Memory>,
+    voters: Vec<Option<Voter<Memory>>>,
+    answers: Vec<(String, u64, Outcome)>,
+    drawn: u64,
+    /// Of a hundred messages so many are lost, and as many come twice.
+    lost: u64,
+    cut: Vec<usize>,
+}
+
+impl Net {
+    fn new(n: usize, seed: u64) -> Net {
+        let names: Vec<String> = (0..n).map(|i| format!("v{i}")).collect();
+        let kept = vec![(); n].into_iter().map(|()| Memory::default()).collect();
+        let (voters, answers, cut) = ((0..n).map(|_| None).collect(), Vec::new(), Vec::new());
+        let mut net = Net { now: 0, names, kept, voters, answers, drawn: seed << 32, lost: 0, cut };
+        (0..n).for_each(|i| net.start(i));
+        net
+    }
+
+    fn start(&mut self, i: usize) {
+        let kept = self.kept[i].0.borrow().0.clone();
+        let voter = Voter::new(self.now, &self.names[i], &self.names, TERMS, self.kept[i].clone(), kept);
+        self.voters[i] = Some(voter.unwrap());
+    }
+
+    fn draw(&mut self) -> u64 {
+        self.drawn += 1;
+        xxhash_rust::xxh64::xxh64(&self.drawn.to_le_bytes(), 1)
+    }
+
+    fn step(&mut self) {
+        self.now += 20_000;
+        for i in 0..self.voters.len() {
+            let Some(voter) = &mut self.voters[i] else { continue };
+            let Ok(said) = voter.turn(self.now) else {
+                self.voters[i] = None;
+                continue;
+            };
+            for said in said {
+                match said {
+                    Said::Answer { to, id, outcome } => self.answers.push((to, id, outcome)),
+                    Said::Message { to, bytes } => {
+                        assert!(bytes.len() < 1_300, "{} bytes", bytes.len());
+                        let j = self.names.iter().position(|name| *name == to).unwrap();
+                        let (draw, cut) = (self.draw() % 100, self.cut.contains(&i) != self.cut.contains(&j));
+                        let times = if cut || draw < self.lost {
+                            0
+                        } else {
+                            1 + usize::from(draw >= 100 - self.lost)
+                        };
+                        (0..times).for_each(|_| {
+                            self.voters[j].iter_mut().for_each(|voter| drop(voter.read(&bytes)));
+                        });
+                    }
+                }
+            }
+        }
+    }
+
+    fn leader(&self) -> Option<usize> {
+        let leads = |i: &usize| self.voters[*i].as_ref().is_some_and(Voter::leads);
+        (0..self.voters.len()).filter(leads).max_by_key(|&i| self.voters[i].as_ref().unwrap().leader().1)
+    }
+
+    fn until(&mut self, what: &str, mut done: impl FnMut(&mut Net) -> bool) {
+        let end = self.now + 60_000_000;
+        while !done(self) {
+            assert!(self.now < end, "{what} did not come");
+            self.step();
+        }
+    }
+
+    /// Asks whoever leads until it is answered.
+    fn decide(&mut self, id: u64, command: Command) -> Outcome {
+        let mut asked = 0;
+        self.until("an answer", |net| {
+            if net.now >= asked {
+                asked = net.now + 1_000_000;
+                if let Some(leader) = net.leader() {
+                    net.voters[leader].as_mut().unwrap().ask("me", id, &command);
+                }
+            }
+            net.answers.iter().any(|a| a.1 == id)
+        });
+        self.answers.iter().find(|a| a.1 == id).unwrap().2.clone()
+    }
+}
+
+fn acquire(holder: &str) -> Command {
+    Command::Acquire { task: "t".into(), holder: holder.into() }
+}
+
+/// Guards against decisions that a kill of all voters, a lost leader or a log that was cut takes back.
+#[test]
+fn what_was_decided_outlives_kills_of_every_voter_and_a_cut_log() {
+    let mut net = Net::new(3, 1);
+    assert_eq!(net.decide(1, acquire("x")), Outcome::Granted(1));
+    assert_eq!(net.decide(2, acquire("y")), Outcome::Held("x".into()));
+    let leader = net.leader().unwrap();
+    net.voters[leader] = None;
+    assert_eq!(net.decide(3, Command::Renew { task: "t".into(), token: 1 }), Outcome::Granted(1));
+    (0..3).for_each(|i| net.voters[i] = None);
+    (0..3).for_each(|i| net.start(i));
+    assert_eq!(net.decide(4, Command::Return { task: "t".into(), token: 1 }), Outcome::Done);
+    // One is away while the log is cut, and is told by a snapshot.
+    let away = (net.leader().unwrap() + 1) % 3;
+    net.voters[away] = None;
+    for id in 10..10 + CUT + 50 {
+        let token = match net.decide(2 * id, acquire("z")) {
+            Outcome::Granted(token) => token,
+            other => panic!("{other:?}"),
+        };
+        net.decide(2 * id + 1, Command::Return { task: "t".into(), token });
+        net.answers.clear();
+    }
+    assert!(net.kept[net.leader().unwrap()].0.borrow().0.entries.len() <= 2 * CUT as usize);
+    net.start(away);
+    let whole = net.voters[net.leader().unwrap()].as_ref().unwrap().state().tokens;
+    net.until("the snapshot", |net| net.voters[away].as_ref().unwrap().state().tokens == whole);
+}
+
+/// Guards against a voter that goes on after its folder failed, and against a minority that decides.
+#[test]
+fn a_full_folder_silences_its_voter_and_a_minority_decides_nothing() {
+    let mut net = Net::new(3, 2);
+    net.decide(1, acquire("x"));
+    let leader = net.leader().unwrap();
+    net.kept[leader].0.borrow_mut().1 = true;
+    assert_eq!(net.decide(2, acquire("x")), Outcome::Granted(1));
+    assert!(net.voters[leader].is_none(), "its folder was full");
+    // One of the two that are left is cut off: nobody decides.
+    net.cut = vec![net.leader().unwrap()];
+    for _ in 0..500 {
+        if let Some(leader) = net.leader() {
+            net.voters[leader].as_mut().unwrap().ask("me", 99, &acquire("y"));
+        }
+        net.step();
+    }
+    assert!(net.answers.iter().all(|a| a.1 != 99), "{:?}", net.answers);
+    assert_eq!(net.leader(), None, "who hears no majority leads no more");
+    net.cut.clear();
+    net.kept[leader].0.borrow_mut().1 = false;
+    net.start(leader);
+    assert!(matches!(net.decide(100, acquire("y")), Outcome::Granted(2) | Outcome::Held(_)));
+}
+
+/// Guards against two holders under loss, doubling, cuts and kills: two ask without end, and all is drawn from a seed.
+#[test]
+fn two_holders_never_act_at_once_over_voters_that_fail_by_a_seed() {
+    let (mut grants, mut most) = (0, 0);
+    for seed in 0..12 {
+        let mut net = Net::new(3, 100 + seed);
+        net.lost = 15;
+        let mut holders: Vec<Holder> = ["a", "b"].map(|me| Holder::new(0, TERMS, "t", me)).into();
+        let mut asks: BTreeMap<u64, (usize, u64)> = BTreeMap::new();
+        let (mut n, mut last, mut idle) = (0, 0, 0);
+        while net.now < 60_000_000 {
+            match net.draw() % 400 {
+                0 => net.cut = vec![(net.draw() % 3) as usize],
+                1..=3 => net.cut.clear(),
+                4 => {
+                    let i = (net.draw() % 3) as usize;
+                    net.voters[i] = None;
+                }
+                5..=12 => (0..3).for_each(|i| {
+                    if net.voters[i].is_none() {
+                        net.start(i);
+                    }
+                }),
+                _ => {}
+            }
+            net.step();
+            for i in 0..2 {
+                // Now and then one stops for long.
+                if net.draw() % 100 < 3 {
+                    let at = net.now;
+                    if let Some((_, give)) = holders[i].give_back(at, 500_000) {
+                        net.leader().into_iter().for_each(|l| {
+                            net.voters[l].as_mut().unwrap().ask("h", 0, &give);
+                        });
+                    }
+                }
+                if let Some((id, command)) = holders[i].turn(net.now) {
+                    n += 1;
+                    asks.insert(n, (i, id));
+                    net.leader().into_iter().for_each(|l| {
+                        net.voters[l].as_mut().unwrap().ask("h", n, &command);
+                    });
+                }
+            }
+            for (_, n, outcome) in std::mem::take(&mut net.answers) {
+                if let Some((i, id)) = asks.remove(&n) {
+                    let now = net.now;
+                    holders[i].answer(now, id, &outcome);
+                }
+            }
+            let acting: Vec<u64> = holders.iter().filter_map(|h| h.acts(net.now)).collect();
+            assert!(acting.len() < 2, "seed {seed}: {acting:?}");
+            idle = if acting.is_empty() { idle + 1 } else { 0 };
+            most = most.max(idle);
+            if let Some(&token) = acting.first() {
+                assert!(token >= last, "seed {seed}: {token} after {last}");
+                grants += usize::from(token > last);
+                last = token;
+            }
+        }
+    }
+    assert!(grants > 100, "{grants} grants");
+}
+
+/// Guards against a folder that another voter uses, one that is torn, and one made anew for a voter that had one.
+#[test]
+fn a_folder_is_whose_it_is_and_keeps_what_it_returned_from() {
+    let at = std::env::temp_dir().join(format!("oakdeal-folder-{}", std::process::id()));
+    let _ = std::fs::remove_dir_all(&at);
+    assert!(Folder::open(&at, "v0").err().unwrap().contains("group found"));
+    Folder::found(&at, "v0").unwrap();
+    assert!(Folder::found(&at, "v0").unwrap_err().contains("already"));
+    assert!(Folder::open(&at, "v1").err().unwrap().contains("v0"));
+    let names = vec!["v0".to_string()];
+    let mut granted = 0;
+    for round in 0..3 {
+        let (folder, kept) = Folder::open(&at, "v0").unwrap();
+        let mut voter = Voter::new(0, "v0", &names, TERMS, folder, kept).unwrap();
+        let mut now = 0;
+        while !voter.leads() {
+            now += TICK;
+            voter.turn(now).unwrap();
+        }
+        assert_eq!(voter.state().tokens, granted, "round {round}");
+        assert!(voter.ask("me", 1, &acquire("x")));
+        voter.turn(now).unwrap();
+        let Some(lease) = voter.state().leases.get("t").cloned() else { panic!("not decided") };
+        granted = lease.token;
+        voter.ask("me", 2, &Command::Return { task: "t".into(), token: granted });
+        voter.turn(now).unwrap();
+    }
+    assert_eq!(granted, 3);
+    // Torn in mid-write: the file is cut short. It is good or refused, never wrong.
+    let file = at.join("voter.redb");
+    let whole = std::fs::read(&file).unwrap();
+    for part in 1..16 {
+        std::fs::write(&file, &whole[..whole.len() * part / 16]).unwrap();
+        if let Ok((_, kept)) = Folder::open(&at, "v0") {
+            assert!(kept.hard.term >= 1, "cut to {part}/16: an empty memory is a wrong one");
+        }
+    }
+    std::fs::remove_dir_all(&at).unwrap();
+}
