--- a/src/broker/core.rs
+++ b/src/broker/core.rs
@@ -56,6 +56,8 @@
     contracts: Option<Contracts>,
     /// Slow rebalancing; none where the operator wants none.
     rebalance: Option<Rebalance>,
+    /// In a group, another balancer's wave may be under way: this one moves nobody home meanwhile.
+    rests: bool,
     frame: Frame,
     /// The platform's own tenants, by name; the teams come behind them, by their number.
     projects: Vec<String>,
@@ -260,7 +262,8 @@
     /// When [`Core::turn`] is to be called next, if nothing happens before.
     pub fn due(&mut self, now: Micros) -> Option<Micros> {
         let contracts = self.contracts.as_mut().and_then(|contracts| contracts.due(now));
-        contracts.into_iter().chain(self.rebalance.as_ref().map(|r| r.due(now))).min()
+        let waves = self.rebalance.as_ref().filter(|_| !self.rests);
+        contracts.into_iter().chain(waves.map(|r| r.due(now))).min()
     }
 
     /// Does what is due without an event.
@@ -269,7 +272,7 @@
             actions.extend(contracts.turn(now).into_iter().map(|call| Action::Move { call }));
         }
         // One cause of moves at a time: what contracts want comes first.
-        if let Some(rebalance) = &mut self.rebalance {
+        if let Some(rebalance) = self.rebalance.as_mut().filter(|_| !self.rests) {
             if !actions.is_empty() {
                 rebalance.trouble(now, "contracts move connections");
             }
@@ -293,6 +296,11 @@
         }
     }
 
+    /// In a group: whether it is this balancer's turn to move connections home.
+    pub fn wave(&mut self, ours: bool) {
+        self.rests = !ours;
+    }
+
     /// Moves are made for another cause: rebalancing rests.
     pub fn rests(&mut self, now: Micros, cause: &'static str) {
         if let Some(rebalance) = &mut self.rebalance {
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -367,6 +367,13 @@
         self.look(state);
     }
 
+    /// In a group: whether it is this balancer's turn to move connections home.
+    pub fn wave(&self, ours: bool) {
+        let state = &mut *self.state.borrow_mut();
+        state.core.wave(ours);
+        self.look(state);
+    }
+
     /// Shows the contracts, where there are any.
     pub fn contracts<T>(&self, show: impl FnOnce(&Contracts) -> T) -> Option<T> {
         self.state.borrow().core.contracts().map(show)
--- a/src/cli/mod.rs
+++ b/src/cli/mod.rs
@@ -5,6 +5,7 @@
 mod account;
 mod check;
 mod contracts;
+mod group;
 
 use crate::logging::{self, Format};
 use crate::operator::PLACE;
@@ -46,6 +47,9 @@
     /// Shows contracts, and what teams used of them
     #[command(subcommand)]
     Contracts(Contracts),
+    /// Founds, shows and steers the group of balancers that decide together
+    #[command(subcommand)]
+    Group(group::Group),
 }
 
 #[derive(Subcommand, Debug)]
@@ -94,6 +98,7 @@
         Command::Serve(serve) => start(serve),
         Command::Check { file, config } => check::check(&file, config.as_deref()),
         Command::Import { file } => import(&file),
+        Command::Group(call) => group::run(call),
         Command::Contracts(Contracts::Show { file, balancers, config }) => {
             contracts::show(&file, balancers, config.as_deref())
         }
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -2,9 +2,54 @@
 //!
 //! Promised: what is in the record was kept by a majority before anybody was told; a task has one holder at a time
 //! ([`lease`] says what that rests on); nobody's clients wait for any of it. Not promised: progress without a majority.
-//! docs/group.md weighs the ways and has the operators' page.
+//! Used through [`task::Group`], which has the socket; [`member::Member`] is the same without I/O. docs/group.md weighs the ways
+//! and has the operators' page.
 
 pub mod folder;
 pub mod lease;
+pub mod member;
 pub mod record;
+pub mod task;
 pub mod voter;
+pub mod words;
+
+use crate::api::Micros;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+/// The task of moving connections home: one balancer's wave at a time.
+pub const REBALANCE: &str = "rebalance";
+
+/// The section `[group]` of the operator's file.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// How the others call this process, where that is not the platform's name.
+    pub name: Option<String>,
+    /// Where it takes datagrams.
+    pub listen: SocketAddr,
+    /// The file of the fleet's key.
+    pub key: PathBuf,
+    /// Where it stands.
+    pub zone: String,
+    /// See `zone`.
+    pub region: String,
+    /// The voters' names.
+    pub voters: Vec<String>,
+    /// Where members are reached from here, by name.
+    pub members: BTreeMap<String, SocketAddr>,
+    /// A voter's memory.
+    pub folder: Option<PathBuf>,
+    /// How often somebody is asked whether they are there.
+    pub probe: Micros,
+    /// How long a holder may act after it asked.
+    pub span: Micros,
+    /// How far clocks run from true time, in millionths.
+    pub drift: u64,
+    /// The tasks that this process wants.
+    pub tasks: Vec<String>,
+    /// It holds one for so long at most, before another may.
+    pub turn: Micros,
+    /// A number that differs where the files differ.
+    pub print: u32,
+}
--- /dev/null
+++ b/src/group/task.rs
@@ -0,0 +1,221 @@
+//! The group's socket: datagrams under the key, the clock that goes on while the machine sleeps, and what a lease is for
+//! here. Decides nothing: [`super::member`] does.
+
+use super::folder::Folder;
+use super::lease;
+use super::member::{Event, Member};
+use super::voter::Voter;
+use super::{Settings, REBALANCE};
+use crate::api::Micros;
+use crate::broker::operations::Operations;
+use crate::broker::Broker;
+use crate::peers::seal::{Seal, ADDED, LONGEST};
+use crate::peers::{self, Peers};
+use rustix::time::{clock_gettime, ClockId};
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+use tokio::net::UdpSocket;
+use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
+
+/// Between two looks at what is due.
+const TURN: Duration = Duration::from_millis(20);
+/// A clock that runs at another rate, for the rig that tests drift: it is read from here, and from nowhere else.
+const RIG: &str = "OAKDEAL_RIG_CLOCK_RATE";
+
+/// What an operator may order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Order {
+    /// Another voter is to lead.
+    StepDown,
+    /// All tasks held here are to be given back.
+    GiveUp,
+    /// The program ends.
+    Leave,
+}
+
+/// What the group shows, and where it takes orders.
+pub struct Board {
+    text: RefCell<String>,
+    orders: UnboundedSender<Order>,
+}
+
+impl Board {
+    /// What is to be seen, a line each.
+    pub fn text(&self) -> String {
+        self.text.borrow().clone()
+    }
+
+    /// Gives an order.
+    pub fn order(&self, order: Order) {
+        // Cannot fail while the program runs: the group's task holds the other end.
+        let _ = self.orders.send(order);
+    }
+}
+
+/// Time since the machine started, its sleep included.
+struct Clock {
+    begun: Micros,
+    rate: f64,
+}
+
+fn boottime() -> Micros {
+    let at = clock_gettime(ClockId::Boottime);
+    at.tv_sec as u64 * 1_000_000 + at.tv_nsec as u64 / 1_000
+}
+
+impl Clock {
+    fn new() -> Clock {
+        let rate = std::env::var(RIG).ok().and_then(|rate| rate.parse().ok()).unwrap_or(1.0);
+        Clock { begun: boottime(), rate }
+    }
+
+    fn now(&self) -> Micros {
+        self.begun + ((boottime() - self.begun) as f64 * self.rate) as Micros
+    }
+}
+
+/// The group's task; it has a socket from here on.
+pub struct Group {
+    member: Member<Folder>,
+    socket: UdpSocket,
+    seal: Seal,
+    clock: Clock,
+    orders: UnboundedReceiver<Order>,
+    board: Rc<Board>,
+}
+
+impl Group {
+    /// Reads key and folder and binds the socket. `name`: how the platform calls this process.
+    pub async fn start(
+        settings: Settings,
+        name: &str,
+        started: u64,
+        seed: u64,
+    ) -> Result<(Group, Rc<Board>), String> {
+        let name = settings.name.as_deref().unwrap_or(name);
+        let said = |what: String| format!("[group]: {what}");
+        let seal = Seal::read(&settings.key).map_err(said)?;
+        let clock = Clock::new();
+        let terms = lease::Terms { span: settings.span, drift: settings.drift };
+        let mut voter = None;
+        if settings.voters.iter().any(|voter| voter == name) {
+            let folder =
+                settings.folder.as_ref().ok_or_else(|| said(format!("{name} votes: give it a `folder`")))?;
+            match Folder::open(folder, name) {
+                Ok((folder, kept)) => {
+                    let made = Voter::new(clock.now(), name, &settings.voters, terms, folder, kept);
+                    voter = Some(made.map_err(|e| said(format!("{name} {e}")))?);
+                }
+                // It serves, and watches like any other: nobody's clients are to suffer for it.
+                Err(e) => tracing::error!("group: {name} does not vote: {e}"),
+            }
+        }
+        let me = peers::Member {
+            name: name.into(),
+            address: settings.listen,
+            started,
+            renewed: 0,
+            zone: settings.zone.clone(),
+            region: settings.region.clone(),
+            version: env!("CARGO_PKG_VERSION").into(),
+            settings: settings.print,
+            drains: false,
+        };
+        let book = settings.members.iter().filter(|(other, _)| *other != name);
+        let book = book.map(|(name, at)| (name.clone(), *at)).collect();
+        let peers = Peers::new(me, book, settings.probe, LONGEST - ADDED - 1, seed);
+        let tasks = (&settings.tasks[..], settings.turn);
+        let member = Member::new(clock.now(), peers, &settings.voters, voter, terms, tasks);
+        let socket = UdpSocket::bind(settings.listen).await;
+        let socket = socket
+            .map_err(|e| said(format!("listen {}: {e}; give an address that is free", settings.listen)))?;
+        let (orders, heard) = unbounded_channel();
+        let board = Rc::new(Board { text: RefCell::default(), orders });
+        tracing::info!("{name} is in the group at {}", settings.listen);
+        Ok((Group { member, socket, seal, clock, orders: heard, board: board.clone() }, board))
+    }
+
+    /// Goes on until the program ends.
+    pub async fn run(mut self, broker: Rc<Broker>) {
+        let operations = Operations::new(broker.clone());
+        let mut buffer = [0; 2 * LONGEST];
+        let mut unsealed = 0u64;
+        loop {
+            tokio::select! {
+                biased;
+                order = self.orders.recv() => {
+                    let now = self.clock.now();
+                    match order {
+                        Some(Order::StepDown) => drop(self.member.step_down()),
+                        Some(Order::GiveUp) => self.member.give_up(now),
+                        Some(Order::Leave) => {
+                            self.member.leave(now);
+                            self.send();
+                            self.tell(&broker);
+                            return;
+                        }
+                        None => return,
+                    }
+                }
+                came = self.socket.recv_from(&mut buffer) => {
+                    // An error is a word of the network on an earlier datagram, and nothing to us.
+                    if let Ok((n, _)) = came {
+                        match self.seal.open(&buffer[..n]) {
+                            Some(words) => self.member.read(self.clock.now(), words),
+                            None => {
+                                unsealed += 1;
+                                if unsealed.is_power_of_two() {
+                                    tracing::warn!("group: {unsealed} datagrams were not under our key");
+                                }
+                            }
+                        }
+                    }
+                }
+                () = tokio::time::sleep(TURN) => {}
+            }
+            let now = self.clock.now();
+            self.member.drains(now, !operations.ready());
+            self.member.turn(now);
+            self.send();
+            self.tell(&broker);
+            *self.board.text.borrow_mut() = self.member.show(now);
+        }
+    }
+
+    fn send(&mut self) {
+        for (to, words) in self.member.sends() {
+            if let Some(datagram) = self.seal.seal(&words) {
+                // What finds no room is lost like any other datagram.
+                let _ = self.socket.try_send_to(&datagram, to);
+            } else {
+                tracing::error!("group: {} bytes are too long for a datagram", words.len());
+            }
+        }
+    }
+
+    fn tell(&mut self, broker: &Broker) {
+        for event in self.member.events() {
+            let us = boottime();
+            match event {
+                Event::Peer(peers::Note::Up(name)) => tracing::info!("group: {name} is there"),
+                Event::Peer(peers::Note::Down(name)) => tracing::info!("group: {name} is gone"),
+                Event::Taken(task, token) => tracing::info!(us, "group: {task} is ours under token {token}"),
+                Event::Let(task, token) => {
+                    tracing::info!(us, "group: {task} is no longer ours under token {token}")
+                }
+                Event::Act(act, passes) => {
+                    let (task, token, holder) = (act.task, act.token, act.holder);
+                    tracing::debug!(target: "oakdeal::act", task, holder, token, us, passes, "act");
+                    if !passes {
+                        tracing::warn!(
+                            "group: an act of {holder} on {task} came late, under token {token}: refused"
+                        );
+                    }
+                }
+                Event::Silenced(e) => tracing::error!("group: votes no more: {e}"),
+            }
+        }
+        broker.wave(self.member.acts(self.clock.now(), REBALANCE).is_some());
+    }
+}
--- a/src/group/voter_tests.rs
+++ b/src/group/voter_tests.rs
@@ -211,17 +211,17 @@
                 _ => {}
             }
             net.step();
-            for i in 0..2 {
+            for (i, holder) in holders.iter_mut().enumerate() {
                 // Now and then one stops for long.
                 if net.draw() % 100 < 3 {
                     let at = net.now;
-                    if let Some((_, give)) = holders[i].give_back(at, 500_000) {
+                    if let Some((_, give)) = holder.give_back(at, 500_000) {
                         net.leader().into_iter().for_each(|l| {
                             net.voters[l].as_mut().unwrap().ask("h", 0, &give);
                         });
                     }
                 }
-                if let Some((id, command)) = holders[i].turn(net.now) {
+                if let Some((id, command)) = holder.turn(net.now) {
                     n += 1;
                     asks.insert(n, (i, id));
                     net.leader().into_iter().for_each(|l| {
--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -7,6 +7,7 @@
 use super::relay;
 use crate::api::Micros;
 use crate::broker::operations::Operations;
+use crate::group::task::{Board, Order};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::TcpStream;
@@ -29,6 +30,12 @@
     Leave,
     /// Back to work.
     Join,
+    /// The group, as this process sees it.
+    Group,
+    /// Another voter is to lead.
+    StepDown,
+    /// Tasks held here are to be given back.
+    GiveUp,
 }
 
 fn call(input: &mut &[u8]) -> ModalResult<Call> {
@@ -37,6 +44,9 @@
         "DUMP".value(Call::Dump),
         "LEAVE".value(Call::Leave),
         "JOIN".value(Call::Join),
+        "GROUP".value(Call::Group),
+        "STEPDOWN".value(Call::StepDown),
+        "GIVEUP".value(Call::GiveUp),
     ));
     terminated(words, eof).parse_next(input)
 }
@@ -51,13 +61,19 @@
 /// The door.
 pub struct Door {
     operations: Operations,
+    group: Option<Rc<Board>>,
     lobby: Rc<Lobby>,
 }
 
 impl Door {
     /// A door to these operations, with seats of its own.
-    pub fn new(operations: Operations, lobby: Rc<Lobby>) -> Rc<Door> {
-        Rc::new(Door { operations, lobby })
+    pub fn new(operations: Operations, group: Option<Rc<Board>>, lobby: Rc<Lobby>) -> Rc<Door> {
+        Rc::new(Door { operations, group, lobby })
+    }
+
+    fn order(&self, order: Order) -> String {
+        self.group.iter().for_each(|group| group.order(order));
+        "200 ordered\r\n".into()
     }
 
     fn answer(&self, call: Option<Call>) -> String {
@@ -73,7 +89,16 @@
                 Ok(()) => "200 ready\r\n".into(),
                 Err(_) => "400 the program is ending\r\n".into(),
             },
-            None => "400 unknown call: HEALTH, DUMP, LEAVE or JOIN\r\n".into(),
+            Some(Call::Group | Call::StepDown | Call::GiveUp) if self.group.is_none() => {
+                "400 no group here: see [group] in docs/group.md\r\n".into()
+            }
+            Some(Call::Group) => {
+                let text = self.group.as_ref().map(|group| group.text()).unwrap_or_default();
+                format!("200 group\r\n{text}EOF\r\n")
+            }
+            Some(Call::StepDown) => self.order(Order::StepDown),
+            Some(Call::GiveUp) => self.order(Order::GiveUp),
+            None => "400 unknown call: HEALTH, DUMP, LEAVE, JOIN, GROUP, STEPDOWN or GIVEUP\r\n".into(),
         }
     }
 }
@@ -134,7 +159,7 @@
         /// Guards against a panic, and against anything but the words themselves taking a balancer out.
         #[test]
         fn no_other_bytes_mean_anything(line in proptest::collection::vec(any::<u8>(), 0..40)) {
-            let known: [&[u8]; 4] = [b"HEALTH", b"DUMP", b"LEAVE", b"JOIN"];
+            let known: [&[u8]; 7] = [b"HEALTH", b"DUMP", b"LEAVE", b"JOIN", b"GROUP", b"STEPDOWN", b"GIVEUP"];
             prop_assert_eq!(Call::parse(&line).is_some(), known.contains(&&line[..]));
         }
     }
--- a/src/operator/mod.rs
+++ b/src/operator/mod.rs
@@ -4,6 +4,7 @@
 //! of a refused one takes effect. A file that is absent means no contracts and no second front, as on the
 //! platform. Not here: the platform's JSON (`src/config.rs`), and what contracts mean (`src/contracts/`).
 
+mod group;
 pub mod spans;
 
 use crate::api::{Micros, RetryBudget};
@@ -35,6 +36,8 @@
     pub rebalance: Option<rebalance::Terms>,
     /// The second front, where it has an address.
     pub xmpp: Option<Xmpp>,
+    /// The balancers that decide together, where there are any.
+    pub group: Option<crate::group::Settings>,
     /// What is legal and yet worth a look.
     pub warnings: Vec<Message>,
 }
@@ -66,6 +69,7 @@
     reclaim: ReclaimTable,
     account: AccountTable,
     rebalance: Option<Spanned<RebalanceTable>>,
+    group: Option<Spanned<group::Table>>,
     team: Vec<Spanned<TeamTable>>,
     xmpp: Option<Spanned<Xmpp>>,
 }
@@ -285,6 +289,9 @@
             Some(table) => table.get_ref().terms().map_err(|(at, what)| wrong(Some(at), what))?,
             None => None,
         };
+        let print = xxhash_rust::xxh64::xxh64(text.as_bytes(), 0) as u32;
+        let group = file.group.map(|table| table.into_inner().settings(print)).transpose();
+        let group = group.map_err(|(at, what)| wrong(Some(at), what))?;
         if let Some(xmpp) = &file.xmpp {
             xmpp.get_ref().check().map_err(|what| wrong(Some(xmpp.span()), what))?;
         }
@@ -292,6 +299,7 @@
             terms: (!terms.contracts.is_empty()).then_some(terms),
             every: every.map_or(EVERY, |e| e.get_ref().0),
             rebalance,
+            group,
             xmpp: file.xmpp.map(Spanned::into_inner).filter(|x| x.listen.is_some()),
             warnings,
         })
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -8,6 +8,7 @@
 use crate::broker::Broker;
 use crate::config::Config;
 use crate::contracts::ledger::Reason;
+use crate::group::task::{Group, Order};
 use crate::net;
 use crate::net::admin::{self, Door};
 use crate::net::inherited::Listener;
@@ -85,6 +86,12 @@
         Broker::new(settings, names, seed, descriptors - seats).map_err(|e| e.to_string())?;
     broker.contract(operator.terms);
     broker.rebalance(operator.rebalance);
+    let mut group = None;
+    if let Some(settings) = operator.group {
+        let (task, board) = Group::start(settings, &config.name, unix_ms(), seed).await?;
+        spawn_local(task.run(broker.clone()));
+        group = Some(board);
+    }
     let lobby = Lobby::new(broker.clone(), seats);
     let listener = match std::env::var("LB_FD") {
         Ok(descriptor) if !descriptor.is_empty() => Listener::inherited(&descriptor, config.listen)?,
@@ -126,7 +133,7 @@
         let listener = listener.map_err(|e| format!("admin: {e}; give an address that is free"))?;
         let at = listener.at()?;
         let lobby = Lobby::new(broker.clone(), admin::SEATS);
-        let inside = Door::new(Operations::new(broker.clone()), lobby);
+        let inside = Door::new(Operations::new(broker.clone()), group.clone(), lobby);
         let serve = move |stream, from| admin::serve(inside.clone(), stream, from);
         door.spawn_local(net::accept(broker.clone(), listener, Connections::default(), "operators", serve));
         tracing::info!("{} answers operators on {at}", config.name);
@@ -166,6 +173,7 @@
     };
     let ends = async {
         term.recv().await;
+        group.iter().for_each(|group| group.order(Order::Leave));
         if let Some(place) = &place {
             upgrade::leave(&broker, place, &config.name, broker.now() + span(&broker) + OVERTIME);
         }
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -321,6 +321,11 @@
         (command, dir)
     }
 
+    /// Its process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
     /// Waits until it takes clients.
     pub fn up(mut self) -> Balancer {
         self.lines = self.address("n0 serves ");
