--- a/lab/src/cli/mod.rs
+++ b/lab/src/cli/mod.rs
@@ -3,6 +3,7 @@
 //! Exit codes: 0 good, 1 failed or a rule was broken, 2 wrong use.
 
 pub mod compare;
+mod fleet;
 mod ledger;
 mod load;
 pub mod run;
@@ -35,6 +36,9 @@
     Compare(compare::Compare),
     /// Opens connections to a balancer that runs, and measures
     Load(load::Load),
+    /// Plays real processes that decide together, with faults on every link
+    #[command(subcommand)]
+    Fleet(fleet::Fleet),
     /// Says where the worth of a day went, from the debug logs of all its balancers
     Ledger(ledger::Ledger),
     /// Makes one HTML file of records
@@ -74,6 +78,7 @@
         Command::Run(run) => run.run(),
         Command::Compare(compare) => compare.run(),
         Command::Load(load) => load.run(),
+        Command::Fleet(fleet) => fleet.run(),
         Command::Ledger(ledger) => ledger.run(),
         Command::Report { records, out } => crate::report::html(&records).and_then(|html| {
             let said = |e| format!("cannot write {}: {e}", out.display());
--- /dev/null
+++ b/lab/src/fleet/process.rs
@@ -0,0 +1,271 @@
+//! The processes: their start, their signals and their logs; the stand-ins that they need.
+
+use super::checker::Act;
+use super::link::{relay, Way};
+use super::scenario::Scenario;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::os::unix::fs::PermissionsExt;
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
+use std::sync::{Arc, Mutex};
+use std::thread;
+use std::time::{Duration, Instant};
+
+/// All processes of one run.
+pub struct Fleet {
+    program: PathBuf,
+    dir: PathBuf,
+    discovery: SocketAddr,
+    server: SocketAddr,
+    clocks: Vec<f64>,
+    ways: Vec<Vec<Arc<Way>>>,
+    over: Arc<AtomicBool>,
+    children: Vec<Option<Child>>,
+    doors: Vec<Option<(SocketAddr, SocketAddr)>>,
+    log: Arc<Mutex<Vec<(usize, String)>>>,
+}
+
+/// Discovery that has nothing to tell beyond the list that each starts with; a server that sends every line back.
+fn stand_in(script: fn(TcpStream)) -> std::io::Result<SocketAddr> {
+    let listener = TcpListener::bind("127.0.0.1:0")?;
+    let address = listener.local_addr()?;
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            thread::spawn(move || script(stream));
+        }
+    });
+    Ok(address)
+}
+
+fn discovery(mut stream: TcpStream) {
+    let mut head = BufReader::new(&stream).lines();
+    while head.next().is_some_and(|line| line.is_ok_and(|line| !line.is_empty())) {}
+    drop(head);
+    if stream.write_all(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n").is_ok() {
+        while stream.write_all(b"1\r\n\n\r\n").is_ok() {
+            thread::sleep(Duration::from_secs(2));
+        }
+    }
+}
+
+fn server(stream: TcpStream) {
+    let Ok(mut back) = stream.try_clone() else { return };
+    for (n, line) in BufReader::new(stream).lines().map_while(Result::ok).enumerate() {
+        let answer = if n == 0 { "UP 1".into() } else { line };
+        if back.write_all(format!("{answer}\r\n").as_bytes()).is_err() {
+            return;
+        }
+    }
+}
+
+const SETTINGS: &str = r#"{"Areas":["a"],"MyZone":"a","PeersTotal":1,"RegistryMode":"subscribe",
+  "Classes":[{"Name":"watch","AimMs":800,"DeadlineMs":2000,"Effect":"free","Group":"all"}],
+  "Guarantees":{"ColdShare":1.0,"DrainGraceMs":500,"MustAskInMs":10000},
+  "PolicyLimits":{"SendCap":4,"ConnectTimeoutMs":500,"RetryAfter":true,"MaxRetryAfterMs":2000}}"#;
+
+impl Fleet {
+    /// Starts all of them, with a relay on each way of each link.
+    pub fn start(program: &Path, scenario: &Scenario, seed: u64) -> Result<Fleet, String> {
+        let told = |e: std::io::Error| format!("the rig: {e}");
+        let n = scenario.processes;
+        static STARTED: AtomicUsize = AtomicUsize::new(0);
+        let number = STARTED.fetch_add(1, Relaxed);
+        let dir = std::env::temp_dir().join(format!("oakdeal-fleet-{}-{number}", std::process::id()));
+        let _ = std::fs::remove_dir_all(&dir);
+        std::fs::create_dir_all(&dir).map_err(told)?;
+        let key = dir.join("key");
+        std::fs::write(&key, "a key of the rig, and nothing else\n").map_err(told)?;
+        std::fs::set_permissions(&key, PermissionsExt::from_mode(0o600)).map_err(told)?;
+        let bind = || UdpSocket::bind("127.0.0.1:0").and_then(|s| Ok((s.local_addr()?, s))).map_err(told);
+        // Ports that are free now: the processes bind them when they start.
+        let free = (0..n).map(|_| bind()).collect::<Result<Vec<_>, _>>()?;
+        let at: Vec<SocketAddr> = free.iter().map(|(at, _)| *at).collect();
+        drop(free);
+        let over = Arc::new(AtomicBool::new(false));
+        let mut ways = Vec::new();
+        for i in 0..n {
+            let (mut row, mut members) = (Vec::new(), String::new());
+            for (j, &to) in at.iter().enumerate() {
+                let ((via, socket), way) = (bind()?, Arc::new(Way::default()));
+                members += &format!("n{j} = \"{}\"\n", if i == j { to } else { via });
+                row.push(way.clone());
+                let (over, drawn) = (over.clone(), seed << 16 | (i * 64 + j) as u64);
+                if i != j {
+                    thread::spawn(move || relay(socket, to, way, over, drawn));
+                }
+            }
+            ways.push(row);
+            let folder = dir.join(format!("folder-{i}"));
+            let text = format!(
+                "[group]\nlisten = \"{}\"\nkey = {key:?}\nzone = \"z{}\"\nregion = \"r\"\nvoters = [\"n0\", \"n1\", \"n2\"]\nfolder = {folder:?}\n\
+                 probe = \"200ms\"\nspan = \"{}us\"\ndrift = 0.02\nturn = \"60s\"\n[group.members]\n{members}",
+                at[i],
+                i % 3,
+                scenario.span.0
+            );
+            std::fs::write(dir.join(format!("n{i}.toml")), text).map_err(told)?;
+            if i < 3 {
+                let mut found = Command::new(program);
+                found
+                    .args(["group", "found", "--name", &format!("n{i}"), "--operator"])
+                    .arg(dir.join(format!("n{i}.toml")));
+                let out = found.output().map_err(|e| format!("{}: {e}", program.display()))?;
+                if !out.status.success() {
+                    return Err(String::from_utf8_lossy(&out.stderr).into_owned());
+                }
+            }
+        }
+        let clocks = (0..n).map(|i| scenario.clocks.get(i).copied().unwrap_or(1.0)).collect();
+        let (discovery, server) = (stand_in(discovery).map_err(told)?, stand_in(server).map_err(told)?);
+        let (children, doors) = ((0..n).map(|_| None).collect(), vec![None; n]);
+        let program = program.into();
+        let mut fleet = Fleet {
+            program,
+            dir,
+            discovery,
+            server,
+            clocks,
+            ways,
+            over,
+            children,
+            doors,
+            log: Arc::default(),
+        };
+        (0..n).try_for_each(|i| fleet.run(i))?;
+        Ok(fleet)
+    }
+
+    /// Starts one, or starts it again with what it has kept.
+    pub fn run(&mut self, i: usize) -> Result<(), String> {
+        let known = format!(
+            r#"{{"index":1,"snapshot":true,"endpoints":[{{"name":"s-00000001","address":"{}","zone":"a","type":"m","group":0,"status":"ready","weight":1.0,"since_ms":0}}]}}"#,
+            self.server
+        );
+        let config = format!(
+            r#"{{"name":"n{i}","listen":"127.0.0.1:0","discovery":"{}","seed":"{i}","limits":{{"sockets":512}},"known":{known},"settings":{SETTINGS}}}"#,
+            self.discovery
+        );
+        let path = self.dir.join(format!("n{i}.json"));
+        let told = |e: std::io::Error| format!("n{i}: {e}");
+        std::fs::write(&path, config).map_err(told)?;
+        let mut child = Command::new(&self.program)
+            .env("LB_CONFIG", path)
+            .env("LB_ADMIN", "127.0.0.1:0")
+            .env("OAKDEAL_OPERATOR", self.dir.join(format!("n{i}.toml")))
+            .env("OAKDEAL_RIG_CLOCK_RATE", self.clocks[i].to_string())
+            .env("RUST_LOG", "oakdeal=info,oakdeal::act=debug")
+            .env_remove("TMPDIR")
+            .stderr(Stdio::piped())
+            .spawn()
+            .map_err(told)?;
+        let (log, from) = (self.log.clone(), self.mark());
+        let stderr = child.stderr.take().ok_or("no log")?;
+        thread::spawn(move || {
+            let keep = |line| log.lock().map(|mut log| log.push((i, line))).unwrap_or_default();
+            BufReader::new(stderr).lines().map_while(Result::ok).for_each(keep);
+        });
+        self.children[i] = Some(child);
+        let until = Instant::now() + Duration::from_secs(20);
+        let address = |what: String| loop {
+            let line = self.lines(from).into_iter().find(|(who, line)| *who == i && line.contains(&what));
+            if let Some(at) = line.and_then(|(_, line)| line.split(&what).nth(1)?.trim().parse().ok()) {
+                return Ok(at);
+            }
+            if Instant::now() > until {
+                return Err(format!("n{i} did not start: {:?}", self.lines(from)));
+            }
+            thread::sleep(Duration::from_millis(5));
+        };
+        let admin = address(format!("n{i} answers operators on "))?;
+        self.doors[i] = Some((admin, address(format!("n{i} serves "))?));
+        Ok(())
+    }
+
+    /// How many there are.
+    pub fn len(&self) -> usize {
+        self.children.len()
+    }
+
+    /// None are not allowed.
+    pub fn is_empty(&self) -> bool {
+        self.children.is_empty()
+    }
+
+    /// Each way to and from one of these: out, and in.
+    pub fn ways(&self, who: &[usize], out: bool, inn: bool, change: impl Fn(&Way)) {
+        for (i, row) in self.ways.iter().enumerate() {
+            for (j, way) in row.iter().enumerate() {
+                if (out && who.contains(&i)) || (inn && who.contains(&j)) {
+                    change(way);
+                }
+            }
+        }
+    }
+
+    /// The way from one to another.
+    pub fn way(&self, from: usize, to: usize) -> &Way {
+        &self.ways[from][to]
+    }
+
+    /// Sends a signal.
+    pub fn signal(&self, i: usize, name: &str) {
+        if let Some(child) = &self.children[i] {
+            let _ = Command::new("kill").args([name, &child.id().to_string()]).status();
+        }
+    }
+
+    /// Kills one, if it runs.
+    pub fn kill(&mut self, i: usize) {
+        if let Some(mut child) = self.children[i].take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Whether it runs.
+    pub fn runs(&self, i: usize) -> bool {
+        self.children[i].is_some()
+    }
+
+    /// How much has been logged.
+    pub fn mark(&self) -> usize {
+        self.log.lock().map_or(0, |log| log.len())
+    }
+
+    /// What was logged behind a mark.
+    pub fn lines(&self, mark: usize) -> Vec<(usize, String)> {
+        self.log.lock().map(|log| log[mark..].to_vec()).unwrap_or_default()
+    }
+
+    /// All acts seen behind a mark.
+    pub fn acts(&self, mark: usize) -> Vec<Act> {
+        self.lines(mark).iter().filter_map(|(witness, line)| Act::read(*witness, line)).collect()
+    }
+
+    /// Whether a new client of this one is served: it is brought up, and a line comes back.
+    pub fn serves(&self, i: usize, id: u64) -> bool {
+        let Some((_, lines)) = self.doors[i] else { return false };
+        let tried = || -> std::io::Result<bool> {
+            let mut client = TcpStream::connect_timeout(&lines, Duration::from_secs(2))?;
+            client.set_read_timeout(Some(Duration::from_secs(2)))?;
+            client.write_all(format!("OPEN rig-{i}-{id} 2 c=watch,d=2000\r\n").as_bytes())?;
+            let mut came = [0; 6];
+            client.read_exact(&mut came)?;
+            client.write_all(b"here\r\n")?;
+            let mut back = [0; 6];
+            client.read_exact(&mut back)?;
+            Ok(came == *b"UP 1\r\n" && back == *b"here\r\n")
+        };
+        tried().unwrap_or(false)
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        self.over.store(true, Relaxed);
+        (0..self.len()).for_each(|i| self.kill(i));
+        let _ = std::fs::remove_dir_all(&self.dir);
+    }
+}
--- /dev/null
+++ b/lab/src/fleet/scenario.rs
@@ -0,0 +1,114 @@
+//! What the rig plays: so many processes, and faults at their times or drawn by the seed.
+
+use oakdeal::operator::spans::Span;
+use serde::Deserialize;
+use std::path::Path;
+
+/// A scenario of the rig.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Scenario {
+    /// One line on what it plays.
+    pub title: String,
+    /// How long faults may begin.
+    pub length: Span,
+    /// Processes, the first three of which vote.
+    #[serde(default = "five")]
+    pub processes: usize,
+    /// A lease's span.
+    #[serde(default = "span")]
+    pub span: Span,
+    /// How far each process's clock runs from true time; those that are left out run true.
+    #[serde(default)]
+    pub clocks: Vec<f64>,
+    /// So many more faults are drawn by the seed; they overlap.
+    #[serde(default)]
+    pub random: usize,
+    /// Faults at their times.
+    #[serde(default)]
+    pub fault: Vec<Fault>,
+}
+
+/// A fault.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Fault {
+    /// When.
+    pub at: Span,
+    /// For how long.
+    pub length: Span,
+    /// What.
+    pub kind: Kind,
+    /// Whom.
+    pub who: Who,
+}
+
+/// Kinds of faults.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// Killed, and started again with what it kept.
+    Kill,
+    /// Stopped and continued (SIGSTOP, SIGCONT).
+    Stop,
+    /// Cut off both ways.
+    Cut,
+    /// It hears and is not heard.
+    Mute,
+    /// It is heard and hears nothing.
+    Deaf,
+    /// Its links lose 30%, double as much, and are late by up to 200 ms.
+    Noise,
+    /// Its links are cut and healed every 300 ms.
+    Flap,
+}
+
+/// Whom a fault strikes.
+#[derive(Clone, Copy, Debug, Deserialize, PartialEq, Eq)]
+#[serde(rename_all = "snake_case")]
+pub enum Who {
+    /// Whoever acts.
+    Holder,
+    /// The voters.
+    Voters,
+    /// All.
+    All,
+    /// One that the seed draws.
+    Any,
+}
+
+fn five() -> usize {
+    5
+}
+
+fn span() -> Span {
+    Span(1_500_000)
+}
+
+/// Those that come with the laboratory.
+pub const ALL: [(&str, &str); 8] = [
+    ("stopped-holder", include_str!("../../scenarios/group/stopped-holder.toml")),
+    ("muted-holder", include_str!("../../scenarios/group/muted-holder.toml")),
+    ("killed-holder", include_str!("../../scenarios/group/killed-holder.toml")),
+    ("bad-net", include_str!("../../scenarios/group/bad-net.toml")),
+    ("flapping-link", include_str!("../../scenarios/group/flapping-link.toml")),
+    ("all-voters", include_str!("../../scenarios/group/all-voters.toml")),
+    ("no-majority", include_str!("../../scenarios/group/no-majority.toml")),
+    ("random", include_str!("../../scenarios/group/random.toml")),
+];
+
+/// A named one, or a file.
+pub fn find(name: &str) -> Result<Scenario, String> {
+    let text = match ALL.iter().find(|(known, _)| *known == name) {
+        Some((_, text)) => (*text).to_string(),
+        None => std::fs::read_to_string(Path::new(name)).map_err(|e| format!("{name}: {e}"))?,
+    };
+    let scenario: Scenario = toml::from_str(&text).map_err(|e| {
+        let line = e.span().map_or(0, |s| text[..s.start].matches('\n').count() + 1);
+        format!("{name}:{line}: {}", e.message().replace('\n', " "))
+    })?;
+    if !(3..=15).contains(&scenario.processes) {
+        return Err(format!("{name}: processes must be 3 to 15"));
+    }
+    Ok(scenario)
+}
--- a/tests/relay/mod.rs
+++ b/tests/relay/mod.rs
@@ -2,59 +2,25 @@
 //! doubles, delays and cuts.
 #![allow(dead_code)]
 
+#[path = "../../lab/src/fleet/checker.rs"]
+pub mod checker;
+#[path = "../../lab/src/fleet/link.rs"]
+pub mod link;
+
+pub use checker::{check, Act};
+use link::{relay, Way};
+
 use super::peers::{entry, listing, Discovery, Lines, SETTINGS};
 use std::io::{BufRead, BufReader};
 use std::net::{SocketAddr, UdpSocket};
 use std::os::unix::fs::PermissionsExt;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering::Relaxed};
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
-/// One way of one link.
-#[derive(Default)]
-pub struct Way {
-    pub cut: AtomicBool,
-    /// Of a hundred datagrams so many are lost, and as many come twice.
-    pub lost: AtomicU64,
-    /// Each is late by up to so many milliseconds.
-    pub late: AtomicU64,
-}
-
-fn relay(socket: UdpSocket, to: SocketAddr, way: Arc<Way>, over: Arc<AtomicBool>, mut drawn: u64) {
-    socket.set_read_timeout(Some(Duration::from_millis(5))).unwrap();
-    let (mut buffer, mut waits) = ([0; 4096], Vec::<(Instant, Vec<u8>)>::new());
-    while !over.load(Relaxed) {
-        if let Ok((n, _)) = socket.recv_from(&mut buffer) {
-            let mut draw = |most: u64| {
-                drawn = drawn.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1_442_695_040_888_963_407);
-                (drawn >> 33) % most
-            };
-            let lost = way.lost.load(Relaxed);
-            let times = match draw(100) {
-                _ if way.cut.load(Relaxed) => 0,
-                d if d < lost => 0,
-                d if d >= 100 - lost => 2,
-                _ => 1,
-            };
-            for _ in 0..times {
-                let late = Duration::from_millis(draw(way.late.load(Relaxed) + 1));
-                waits.push((Instant::now() + late, buffer[..n].to_vec()));
-            }
-        }
-        let now = Instant::now();
-        waits.retain(|(at, data)| {
-            let due = *at <= now;
-            if due {
-                let _ = socket.send_to(data, to);
-            }
-            !due
-        });
-    }
-}
-
 struct Process {
     child: Option<Child>,
     admin: Option<SocketAddr>,
@@ -257,55 +223,3 @@
         let _ = std::fs::remove_dir_all(&self.dir);
     }
 }
-
-/// One act, as a witness saw it.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Act {
-    pub witness: usize,
-    pub holder: usize,
-    pub token: u64,
-    pub us: u64,
-    pub passes: bool,
-}
-
-impl Act {
-    pub fn read(witness: usize, line: &str) -> Option<Act> {
-        let (_, text) = line.split_once("oakdeal::act: ")?;
-        let value = |name: &str| {
-            let (_, rest) = text.split_once(&format!(" {name}="))?;
-            Some(rest.split(' ').next()?.trim_matches('"').to_string())
-        };
-        let holder = value("holder")?.strip_prefix('n')?.parse().ok()?;
-        let (token, us) = (value("token")?.parse().ok()?, value("us")?.parse().ok()?);
-        Some(Act { witness, holder, token, us, passes: value("passes")? == "true" })
-    }
-}
-
-/// What is wrong with a record of acts: two who act at once, a token of two holders, one that falls where it is carried out.
-pub fn check(acts: &[Act]) -> Vec<String> {
-    let mut wrong = Vec::new();
-    let mut spans: std::collections::BTreeMap<u64, (usize, u64, u64)> = Default::default();
-    for act in acts.iter().filter(|act| act.witness == act.holder) {
-        let span = spans.entry(act.token).or_insert((act.holder, act.us, act.us));
-        if span.0 != act.holder {
-            wrong.push(format!("token {} is n{}'s and n{}'s", act.token, span.0, act.holder));
-        }
-        (span.1, span.2) = (span.1.min(act.us), span.2.max(act.us));
-    }
-    let all: Vec<_> = spans.into_iter().collect();
-    for pair in all.windows(2) {
-        let ((token, (_, _, end)), (next, (_, begin, _))) = (pair[0], pair[1]);
-        if begin <= end {
-            wrong.push(format!("token {next} acts at {begin} us, token {token} until {end}"));
-        }
-    }
-    let mut highest: std::collections::BTreeMap<usize, u64> = Default::default();
-    for act in acts.iter().filter(|act| act.passes) {
-        let seen = highest.entry(act.witness).or_default();
-        if act.token < *seen {
-            wrong.push(format!("n{} carried out token {} after {seen}", act.witness, act.token));
-        }
-        *seen = act.token.max(*seen);
-    }
-    wrong
-}
