--- a/src/peers/mod.rs
+++ b/src/peers/mod.rs
@@ -257,6 +257,7 @@
     struct Net {
         all: Vec<Option<Peers>>,
         now: Micros,
+        bytes: u64,
     }
 
     const PROBE: Micros = 1_000_000;
@@ -264,7 +265,7 @@
     impl Net {
         fn new(n: u16) -> Net {
             let all = (0..n).map(|i| Some(Net::one(i, n, 1))).collect();
-            Net { all, now: 0 }
+            Net { all, now: 0, bytes: 0 }
         }
 
         fn one(i: u16, n: u16, started: u64) -> Peers {
@@ -289,6 +290,7 @@
                 }
                 for (from, to, data) in sent {
                     assert!(data.len() <= 1_300);
+                    self.bytes += (data.len() + seal::ADDED + 1) as u64;
                     if let Some(peers) = self.all[to].as_mut().filter(|_| !lost(from, to, self.now)) {
                         peers.read(self.now, &data).unwrap();
                     }
@@ -359,6 +361,21 @@
         [0, 1, 3, 4].into_iter().for_each(|i| assert_eq!(net.sees(i), 4, "{i}"));
     }
 
+    /// Guards against gossip that grows with the fleet: what one member sends in a second, and the longest packet.
+    #[test]
+    fn what_a_member_sends_hardly_grows_with_the_fleet() {
+        let told = std::env::var("OAKDEAL_MEMBERS").ok().and_then(|n| n.parse().ok());
+        for n in [3, 15, 60].into_iter().chain(told) {
+            let mut net = Net::new(n);
+            net.run(20 * PROBE, |_, _, _| false);
+            let (seen, from) = ((0..usize::from(n)).map(|i| net.sees(i)).min(), net.bytes);
+            net.run(20 * PROBE, |_, _, _| false);
+            let each = (net.bytes - from) / 20 / u64::from(n);
+            println!("{n} members, each sees {seen:?} at least: {each} bytes a second each");
+            assert!(seen == Some(usize::from(n)) && each < 20_000, "{n}: {seen:?}, {each}");
+        }
+    }
+
     proptest! {
         /// Guards against a panic on what somebody made up.
         #[test]
