--- a/src/brain.rs
+++ b/src/brain.rs
@@ -83,8 +83,8 @@
 /// What a server pays for any part of a group, in mean connections, of which a node is charged its part, at
 /// most two. The cost is not told; charged whole at each of a hundred nodes it would scatter all groups.
 const GROUP: f64 = 6.0;
-/// A group is cut into pieces of this many servers' even share: every further piece costs one more server. The
-/// second where a node sees little: all nodes' guesses, one arrival apart, scatter a group over as many pieces.
+/// A group is cut into pieces of this many servers' even share: each further piece costs one more server. The
+/// second where a node sees little: nodes' guesses, one arrival apart, scatter a group over more pieces.
 const PIECE: (f64, f64) = (2.0, 4.0);
 /// How alike in size groups are held to be before much of one is seen (shape of a gamma distribution), and
 /// how many pairs of requests the first guess at their mean size is worth.
