Ask once who leads, send gossip in one place, set each way of a link once

Found on reading the whole change again: Voter::apply asked twice in a turn whether it leads this term, Member::turn and Member::leave had the same loop for gossip, and the rig set every way of a link twice, once from each end.

--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -107,12 +107,10 @@
                 .any(|f| kinds.contains(&f.fault.kind) || f.fault.kind == Kind::Flap && flaps)
         };
         for &i in &all {
-            let (mute, deaf) = (cuts(i, &[Kind::Cut, Kind::Mute]), cuts(i, &[Kind::Cut, Kind::Deaf]));
+            let mute = cuts(i, &[Kind::Cut, Kind::Mute]);
             for &j in all.iter().filter(|&&j| j != i) {
                 let closed = mute || cuts(j, &[Kind::Cut, Kind::Deaf]);
                 fleet.way(i, j).cut.store(closed, Relaxed);
-                let closed = deaf || cuts(j, &[Kind::Cut, Kind::Mute]);
-                fleet.way(j, i).cut.store(closed, Relaxed);
             }
         }
         if looked.elapsed() > Duration::from_millis(250) {
--- a/src/group/member.rs
+++ b/src/group/member.rs
@@ -153,6 +153,11 @@
         }
     }
 
+    fn gossip(&mut self) {
+        let sends = self.peers.sends().into_iter();
+        self.out.extend(sends.map(|(to, bytes)| (to, Words::Gossip(bytes).write())));
+    }
+
     fn say(&mut self, to: &str, words: &Words) {
         if let Some(at) = self.peers.address(to) {
             self.out.push((at, words.write()));
@@ -188,9 +193,7 @@
         self.peers.turn(now);
         let notes = self.peers.notes();
         self.events.extend(notes.into_iter().map(Event::Peer));
-        for (to, bytes) in self.peers.sends() {
-            self.out.push((to, Words::Gossip(bytes).write()));
-        }
+        self.gossip();
         self.vote(now);
         for task in self.holders.keys().cloned().collect::<Vec<_>>() {
             self.task(now, &task);
@@ -303,9 +306,7 @@
         self.give_up(now);
         self.holders.clear();
         self.peers.leave(now);
-        for (to, bytes) in self.peers.sends() {
-            self.out.push((to, Words::Gossip(bytes).write()));
-        }
+        self.gossip();
     }
 
     /// What is to be sent, and where.
--- a/src/group/voter.rs
+++ b/src/group/voter.rs
@@ -280,15 +280,15 @@
     fn apply(&mut self, now: Micros, entries: Vec<Entry>) {
         for entry in entries {
             self.applied = entry.index;
+            let leads = self.node.raft.state == StateRole::Leader && entry.term == self.node.raft.term;
             if let Some(command) = Command::read(&entry.data) {
                 let outcome = self.state.apply(&command);
                 let mark = <[u8; 8]>::try_from(&entry.context[..]).map(u64::from_le_bytes);
-                let mine = self.node.raft.state == StateRole::Leader && entry.term == self.node.raft.term;
-                if let Some((to, id)) = mark.ok().filter(|_| mine).and_then(|mark| self.waits.remove(&mark)) {
+                if let Some((to, id)) = mark.ok().filter(|_| leads).and_then(|mark| self.waits.remove(&mark))
+                {
                     self.said.push(Said::Answer { to, id, outcome });
                 }
             }
-            let leads = self.node.raft.state == StateRole::Leader && entry.term == self.node.raft.term;
             if leads && self.watch.is_none() {
                 // All that leaders before this one decided is in the state: from now on it looks after leases.
                 self.watch = Some(Watch::new(now, &self.state));
