Watch pushed lists from the first moment on; take g for a group only where there are groups

Logs of one drain: the instance had drained before the process started, no watch was ever opened, since the module asks only where it must; and a lost watch came back after PeersTotal x 60 ms. At fault: Broker::listed (no watch for pushed lists), serve::run (clients taken before the first word), Brain::members and round (waits that spare one service for all). 'failback': g stands for the client where FamilyInfo.Groups is false and was taken for a group (platform.rs, Open::demand), so each client was held to cost a server three connections. Also: an indented object on a watch was taken for junk; objects are now read as they come, not line by line.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -414,11 +414,9 @@
         if kind == ListKind::Failed {
             self.subscribed = false;
             self.ask_failures += 1;
-            let step = 250_000u64 << self.ask_failures.min(3);
-            let wait = step / 2 + self.random() % (step + self.round());
+            let wait = self.step() / 2 + self.random() % (self.step() + self.round());
             let at = now + wait.min(self.longest_unasked());
-            out.push(Action::Timer { at, token: T_ASK });
-            return;
+            return out.push(Action::Timer { at, token: T_ASK });
         }
         let (mut joined, stays) = (Vec::new(), self.settings.rules.dropped_stay_open);
         let known = self.settings.limits.probes && !self.hosts.is_empty();
@@ -474,10 +472,18 @@
         }
     }
 
-    /// The time in which discovery, one service for all, can answer every other node once.
+    /// Between two calls. An agent of this node's own counts as having told it all: in time for a drain, then.
+    fn step(&self) -> Micros {
+        match self.settings.discovery {
+            Discovery::Asked => 250_000 << self.ask_failures.min(3),
+            Discovery::Pushed => (self.settings.rules.drain_grace / 4).clamp(20_000, 250_000),
+        }
+    }
+
+    /// The time in which discovery can answer every other node once, where it is one service for all.
     fn round(&self) -> Micros {
-        let others = u64::from(self.settings.peers_total.saturating_sub(1));
-        others.saturating_mul(CALL).min(self.longest_unasked())
+        let all = if self.settings.discovery == Discovery::Pushed { 1 } else { self.settings.peers_total };
+        u64::from(all.saturating_sub(1)).saturating_mul(CALL).min(self.longest_unasked())
     }
 
     /// A node that asks this late asks in time still.
@@ -1027,13 +1033,9 @@
         self.hosts.entry(id).and_modify(|h| h.tokens = (left, now));
     }
 
-    fn arrival_rate(&self, now: Micros) -> f64 {
-        decayed(self.rate, now, RATE_HORIZON)
-    }
-
     /// The usual rate: clients that come again and again swell the arrivals, not the connections held.
     fn steady_rate(&self, now: Micros) -> f64 {
-        self.arrival_rate(now).min(self.calls.len() as f64 / RATE_HORIZON)
+        decayed(self.rate, now, RATE_HORIZON).min(self.calls.len() as f64 / RATE_HORIZON)
     }
 
     fn steadiness(&self, now: Micros) -> f64 {
@@ -1042,7 +1044,7 @@
     }
 
     fn arrived(&mut self, now: Micros) {
-        self.rate = (self.arrival_rate(now) + 1.0 / RATE_HORIZON, now);
+        self.rate = (decayed(self.rate, now, RATE_HORIZON) + 1.0 / RATE_HORIZON, now);
         self.surge = (decayed(self.surge, now, SURGE_HORIZON) + 1.0 / SURGE_HORIZON, now);
     }
 
@@ -1131,10 +1133,7 @@
         // Spread by chance over all that is allowed (full jitter): those turned away now do not come at once.
         let (most, chance) = (self.settings.limits.retry_after, self.chance());
         let retry_after = most.map(|most| (most as f64 * chance) as Micros);
-        out.push(match honest {
-            true => Action::Refuse { call: id, retry_after },
-            false => Action::Fail { call: id },
-        });
+        out.push(if honest { Action::Refuse { call: id, retry_after } } else { Action::Fail { call: id } });
     }
 
     fn chance(&mut self) -> f64 {
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -81,6 +81,8 @@
     names: Names,
     /// Whether instances tell how long messages take there.
     delays_told: bool,
+    /// Changes of the list count as told, asked for or not.
+    pushed: bool,
     /// It is one of so many that it mostly has one connection at an instance.
     many: bool,
     /// The longest that a client waits.
@@ -112,6 +114,7 @@
         let ((orders, ordered), classes) = (unbounded_channel(), settings.classes.len());
         let broker = Broker {
             delays_told: settings.delays_told,
+            pushed: settings.discovery == Discovery::Pushed,
             many: settings.peers_total > crate::brain::SPREAD.1,
             longest: settings.classes.iter().map(|c| c.deadline).max().unwrap_or(0),
             turn_at: Cell::new(Micros::MAX),
@@ -195,6 +198,11 @@
         self.state.borrow().instances.index
     }
 
+    /// Whether changes of the list count as told without our asking.
+    pub fn pushed(&self) -> bool {
+        self.pushed
+    }
+
     /// News of the list.
     pub fn listed(&self, kind: ListKind, listing: Listing) {
         if kind != ListKind::Cached {
@@ -202,6 +210,10 @@
         }
         let hosts = self.state.borrow_mut().instances.news(kind, listing, &self.names);
         self.tell(Event::Members { kind, hosts });
+        if kind == ListKind::Cached && self.pushed {
+            // The module asks where it has to. Here nobody has to, but on sockets news comes by the watch alone.
+            let _ = self.orders.send(Order::Watch(self.list_version()));
+        }
     }
 
     /// The watch could not be had, or has ended.
--- a/src/net/discovery.rs
+++ b/src/net/discovery.rs
@@ -1,6 +1,5 @@
 //! The watch on discovery: HTTP/1.1, one JSON object a line for as long as it lasts.
 
-use super::buffer::trimmed;
 use crate::api::ListKind;
 use crate::broker::instances::Listing;
 use crate::broker::Broker;
@@ -95,7 +94,7 @@
                     text.extend_from_slice(&more);
                     bounded(&text)?;
                 }
-                let listing = listing(&text)?;
+                let listing: Listing = serde_json::from_slice(&text).map_err(unread)?;
                 let index = listing.index;
                 self.heard.set(self.moves.get());
                 self.older.borrow_mut().drain(..).for_each(|old| old.abort());
@@ -107,32 +106,42 @@
         let mut held: Vec<u8> = Vec::new();
         while let Some(more) = next(broker, &mut body).await? {
             held.extend_from_slice(&more);
-            let whole = held.iter().rposition(|&b| b == b'\n').map_or(0, |i| i + 1);
-            for line in held[..whole].split(|&b| b == b'\n').map(trimmed).filter(|line| !line.is_empty()) {
-                let listing = listing(line)?;
-                // Versions only grow: an older one, of a copy that lags behind, would open what drains again.
-                let newest = broker.list_version();
-                if listing.index < newest {
-                    let index = listing.index;
-                    tracing::warn!("discovery: version {index} of the list came after {newest}: passed over");
-                    continue;
+            // An object ends with its line, but may be indented over many.
+            if more.contains(&b'\n') {
+                let mut listings = serde_json::Deserializer::from_slice(&held).into_iter::<Listing>();
+                for listing in listings.by_ref() {
+                    match listing {
+                        Ok(listing) => self.take(listing),
+                        Err(e) if e.is_eof() => break,
+                        Err(e) => return Err(unread(e)),
+                    }
                 }
-                let kind = if listing.snapshot { ListKind::Full } else { ListKind::Changes };
-                broker.listed(kind, listing);
+                let whole = listings.byte_offset();
+                held.drain(..whole);
             }
-            held.drain(..whole);
             bounded(&held)?;
         }
         Err("discovery closed it".into())
     }
+
+    fn take(&self, listing: Listing) {
+        // Versions only grow: an older one, of a copy that lags behind, would open what drains again.
+        let newest = self.broker.list_version();
+        if listing.index < newest {
+            let index = listing.index;
+            return tracing::warn!("discovery: version {index} of the list came after {newest}: passed over");
+        }
+        let kind = if listing.snapshot { ListKind::Full } else { ListKind::Changes };
+        self.broker.listed(kind, listing);
+    }
 }
 
 fn text(e: impl std::fmt::Display) -> String {
     e.to_string()
 }
 
-fn listing(json: &[u8]) -> Result<Listing, String> {
-    serde_json::from_slice(json).map_err(|e| format!("what came is no list of instances: {e}"))
+fn unread(e: serde_json::Error) -> String {
+    format!("what came is no list of instances: {e}")
 }
 
 fn bounded(held: &[u8]) -> Result<(), String> {
--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -84,7 +84,7 @@
         let hint = self.get("h").map(|h| number_of(h).ok_or_else(|| format!("has no load in {h:.40?}")));
         Ok(Demand {
             key: Some(self.key.into()),
-            group: self.get("g").map(Into::into),
+            group: self.get("g").filter(|_| names.grouped()).map(Into::into),
             hint: hint.transpose()?.map(|ms| ms * 1000.0),
             repeat: self.get("r") == Some("1"),
             returned: self.get("again") == Some("1"),
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -159,8 +159,9 @@
     let (host, name, left) = (broker.clone(), config.name.clone(), place.clone());
     let counted = connections.clone();
     let clients = async move {
-        if shared {
-            // An older process serves meanwhile: there is time to hear what has changed.
+        if shared || host.pushed() {
+            // An older process serves meanwhile: there is time to hear what has changed. And where lists are pushed,
+            // what has changed counts as told from the first moment on.
             tokio::select! {
                 () = host.told() => {}
                 () = host.after(UNTOLD) => tracing::warn!("discovery has told nothing yet: serving by the list given"),
--- a/src/wire.rs
+++ b/src/wire.rs
@@ -65,6 +65,7 @@
 #[serde(rename_all = "PascalCase", default)]
 #[allow(missing_docs)]
 pub struct FamilyInfo {
+    pub groups: Option<bool>,
     pub tells_delay: Option<bool>,
     pub message_aim_ms: Option<Vec<Option<f64>>>,
     pub tenant_quota_connections: Option<Vec<Option<f64>>>,
@@ -312,6 +313,8 @@
     classes: Vec<String>,
     tenants: Vec<String>,
     zones: Vec<String>,
+    /// The settings say that connections share no work: what stands in the place of a group is none.
+    ungrouped: bool,
 }
 
 fn index(names: &[String], name: &str) -> Option<usize> {
@@ -345,6 +348,11 @@
         index(&self.tenants, name)
     }
 
+    /// Whether connections belong to groups.
+    pub fn grouped(&self) -> bool {
+        !self.ungrouped
+    }
+
     /// The zones' names, by index.
     pub fn zones(&self) -> &[String] {
         &self.zones
@@ -446,6 +454,7 @@
             classes: classes.iter().map(|c| c.name.clone().unwrap_or_default()).collect(),
             tenants: projects.iter().map(|p| p.name.clone().unwrap_or_default()).collect(),
             zones: self.areas.clone().unwrap_or_default(),
+            ungrouped: info.is_some_and(|info| info.groups == Some(false)),
         };
         Ok((settings, names))
     }
