Look whether the client has left before the connection that came up: it is not sent on

Seen by forcing the instant: a client that left in the turn in which its dial came up was still sent on; one whose first execution was turned away in that turn was dialled for once more (no line went out). At fault: carry and carry_on polled the dial, or the module's word, before client.gone(). Change: gone is polled first in each of the three waits; both fronts go through them. Tests: tests/left.rs, three stories; two of them seen to fail without the change, the third pins what held. The program is stopped while both things happen, so it finds them in one turn.

--- a/src/broker/command.rs
+++ b/src/broker/command.rs
@@ -36,8 +36,8 @@
         // The module's next word: it may be waiting for a probe.
         let word = tokio::select! {
             biased;
-            word = command.word() => word,
             gone = client.gone() => return command.gone(gone, client).await,
+            word = command.word() => word,
         };
         let (instance, patience) = match word {
             Word::Execute { instance, patience } => (instance, patience),
@@ -54,10 +54,11 @@
         let Some(execution) = command.begin(instance, patience, &tally) else { continue };
         let came = tokio::select! {
             biased;
-            came = dialer.execute(&execution) => came,
-            () = broker.until(execution.until) => Err(Outcome::Timeout),
+            // Looked at before the connection is: whoever left in the turn in which it came up is not sent on.
             // Dropping `execute` closes the attempt before its end is told: never two outstanding.
             gone = client.gone() => return command.gone(gone, client).await,
+            came = dialer.execute(&execution) => came,
+            () = broker.until(execution.until) => Err(Outcome::Timeout),
         };
         match came {
             Ok(link) => break link,
@@ -94,18 +95,20 @@
             let execution = broker.execution(instance, until, &tally)?;
             dialer.execute(&execution).await.ok()
         };
-        let came = tokio::select! {
+        let again = async {
+            match tried.await {
+                Some(link) => Some(link),
+                None => {
+                    broker.after(ADOPT_AGAIN).await;
+                    None
+                }
+            }
+        };
+        tokio::select! {
             biased;
-            came = tried => came,
-            () = broker.until(until) => return client.fail(Failure::Deadline).await,
             gone = client.gone() => return part(gone, client).await,
-        };
-        match came {
-            Some(link) => break link,
-            None => broker.until(broker.now() + ADOPT_AGAIN).await,
-        }
-        if broker.now() >= until {
-            return client.fail(Failure::Deadline).await;
+            came = again => if let Some(link) = came { break link },
+            () = broker.until(until) => return client.fail(Failure::Deadline).await,
         }
     };
     tally.ends(End::Completed);
--- /dev/null
+++ b/tests/left.rs
@@ -0,0 +1,137 @@
+//! Stories of clients that leave while their command waits: nothing is sent on for them, whatever comes up in the same turn.
+//!
+//! An instant is forced by stopping the program: what happens meanwhile it finds in one turn, all at once.
+
+mod peers;
+use peers::*;
+use socket2::{Domain, Socket, Type};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::mpsc::{channel, Receiver, Sender};
+use std::sync::{Arc, Mutex};
+
+/// Settings that give a dial its time.
+fn patient() -> String {
+    SETTINGS
+        .replace("\"ConnectTimeoutMs\":500", "\"ConnectTimeoutMs\":8000")
+        .replace("\"AimMs\":800", "\"AimMs\":9000")
+}
+
+/// A listener that takes nobody until it is opened: the queue of those that wait is full.
+struct Shut {
+    listener: TcpListener,
+    fillers: Vec<TcpStream>,
+}
+
+impl Shut {
+    fn new() -> Shut {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+        socket.listen(0).unwrap();
+        let listener: TcpListener = socket.into();
+        let fillers = vec![TcpStream::connect(listener.local_addr().unwrap()).unwrap()];
+        Shut { listener, fillers }
+    }
+
+    fn address(&self) -> SocketAddr {
+        self.listener.local_addr().unwrap()
+    }
+
+    /// Waits until somebody dials: the kernel lists a connection to this port that is not up.
+    fn dialled(&self) {
+        let port = format!(":{:04X} ", self.address().port());
+        let dials = |line: &str| line.split_whitespace().nth(3) == Some("02") && line.contains(&port);
+        while !std::fs::read_to_string("/proc/net/tcp").unwrap().lines().any(dials) {
+            std::thread::yield_now();
+        }
+    }
+
+    /// Takes those that wait, and the one that dialled: its next try comes up within a second or two.
+    fn open(&self) -> Lines {
+        for _ in &self.fillers {
+            self.listener.accept().unwrap();
+        }
+        Lines::new(self.listener.accept().unwrap().0)
+    }
+}
+
+/// Guards against a first line that is sent for a client that left while its connection was made, both in one turn.
+#[test]
+fn a_client_that_leaves_while_the_connection_is_made_is_not_sent_on() {
+    for (how, early) in [("ends", false), ("ends behind bytes of its own", true)] {
+        let shut = Shut::new();
+        let settings = patient();
+        let list = [entry("s-00000001", shut.address(), "ready")];
+        let balancer = Balancer::with(&Discovery::quiet(), &list, None, &settings, "text");
+        let mut client = balancer.client();
+        client.say("OPEN 1 2 c=watch,d=8000\r\n");
+        shut.dialled();
+        balancer.signal("-STOP");
+        if early {
+            client.say("early\r\n");
+        }
+        client.stream.shutdown(Shutdown::Write).unwrap();
+        let mut dialled = shut.open();
+        balancer.signal("-CONT");
+        assert_eq!(dialled.rest(), "", "a client that {how}");
+    }
+}
+
+/// An instance that tells of each first line and answers when it is told what.
+fn held(told: Sender<String>) -> (SocketAddr, Sender<&'static str>) {
+    let (say, said) = channel::<&'static str>();
+    let said: Arc<Mutex<Receiver<&'static str>>> = Arc::new(Mutex::new(said));
+    let address = instance(move |mut peer| {
+        let _ = told.send(peer.hear());
+        let Ok(answer) = said.lock().unwrap().recv() else { return };
+        let _ = std::io::Write::write_all(&mut peer.stream, answer.as_bytes());
+        let _ = told.send(format!("then {}", peer.hear()));
+    });
+    (address, say)
+}
+
+/// Guards against a repeat that is sent for a client that left in the very turn in which the first execution was turned away.
+#[test]
+fn a_client_that_leaves_as_its_first_execution_is_turned_away_is_not_sent_on_again() {
+    let (told, heard) = channel();
+    let (a, say_a) = held(told.clone());
+    let (b, say_b) = held(told);
+    let list = [entry("s-00000001", a, "ready"), entry("s-00000002", b, "ready")];
+    let balancer = Balancer::with(&Discovery::quiet(), &list, None, &patient(), "text");
+    let mut client = balancer.client();
+    client.say("OPEN 1 2 c=watch,d=8000\r\n");
+    assert!(heard.recv().unwrap().starts_with("OPEN 1 2"));
+    balancer.signal("-STOP");
+    client.stream.shutdown(Shutdown::Both).unwrap();
+    // Only the one that was asked has a connection that waits for a word.
+    for say in [&say_a, &say_b] {
+        say.send("BUSY\r\n").unwrap();
+    }
+    balancer.signal("-CONT");
+    // Its connection ends, over an answer that nobody wants any more; whoever comes next is another client.
+    let end = heard.recv().unwrap();
+    assert!(["then END", "then RESET"].contains(&end.as_str()), "{end}");
+    let mut next = balancer.client();
+    next.say("OPEN 3 4 c=watch,d=8000\r\n");
+    let first = heard.recv().unwrap();
+    assert!(first.starts_with("OPEN 3 4"), "{first}");
+}
+
+/// Guards against an execution that stays out at its instance, and on the books, when its client has left.
+#[test]
+fn an_execution_whose_client_leaves_is_given_up_and_its_id_is_free_again() {
+    let (told, heard) = channel();
+    let (a, say) = held(told);
+    let balancer =
+        Balancer::with(&Discovery::quiet(), &[entry("s-00000001", a, "ready")], None, &patient(), "text");
+    let mut client = balancer.client();
+    client.say("OPEN 1 2 c=watch,d=8000\r\n");
+    assert!(heard.recv().unwrap().starts_with("OPEN 1 2"));
+    drop(client);
+    say.send("").unwrap();
+    assert_eq!(heard.recv().unwrap(), "then END");
+    let mut again = balancer.client();
+    again.say("OPEN 1 2 c=watch,d=8000\r\n");
+    assert!(heard.recv().unwrap().starts_with("OPEN 1 2"));
+    say.send("UP 7\r\n").unwrap();
+    assert_eq!(again.hear(), "UP 7");
+}
