At the end answer whoever rests or asks in that moment, and close softly

Seen by forcing the instant: a connection that had had its PONG, or half a line, was cut off without a word when the program ended; a first line that came in the turn in which its time was up was read by nobody and its connection reset. At fault: serve::leave ended as soon as no command was in hand, whatever the lobby held. Change: at the end the lobby is cleared, each seat that may ask still has BUSY and the soft close that all answers have; the program ends when no connection is open, or 0.3 s after it first cleared (SIGKILL comes 0.7 s after the end). Those who linger after their answer are not called away.

--- a/src/net/lobby.rs
+++ b/src/net/lobby.rs
@@ -18,8 +18,8 @@
 pub struct Lobby {
     broker: Rc<Broker>,
     seats: usize,
-    /// Who sits there, in the order in which they came.
-    seated: RefCell<BTreeMap<u64, Rc<Notify>>>,
+    /// Who sits there, in the order in which they came, and whether they may ask still.
+    seated: RefCell<BTreeMap<u64, (bool, Rc<Notify>)>>,
     last: Cell<u64>,
 }
 
@@ -36,21 +36,30 @@
 
     /// A seat for a new connection; where there is none, the one that has sat longest is called away.
     pub fn seat(self: &Rc<Self>) -> Seat {
+        self.sit(true)
+    }
+
+    fn sit(self: &Rc<Self>, asks: bool) -> Seat {
         let number = self.last.replace(self.last.get() + 1);
         let called = Rc::new(Notify::new());
         let mut seated = self.seated.borrow_mut();
         if seated.len() >= self.seats {
-            if let Some((_, oldest)) = seated.pop_first() {
+            if let Some((_, (_, oldest))) = seated.pop_first() {
                 oldest.notify_one();
             }
         }
-        seated.insert(number, called.clone());
+        seated.insert(number, (asks, called.clone()));
         Seat { lobby: self.clone(), number, called }
     }
 
+    /// Calls away all who may ask still: each has its answer and a soft end.
+    pub fn clear(&self) {
+        self.seated.borrow().values().filter(|(asks, _)| *asks).for_each(|(_, called)| called.notify_one());
+    }
+
     /// Waits for a client that has had its last line, in `closed`, and no longer than that is worth.
     pub async fn linger(self: &Rc<Self>, closed: impl std::future::Future<Output = ()>) {
-        let seat = self.seat();
+        let seat = self.sit(false);
         tokio::select! {
             biased;
             () = closed => {}
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -39,6 +39,9 @@
 const OVERTIME: u64 = 2_000_000;
 /// For so long after SIGTERM new connections keep coming, whoever is there to take them.
 const COMING: u64 = 600_000;
+/// At the end resting connections get an answer and a soft close, and whoever asked in that moment a word: so long it may take.
+/// SIGKILL comes 0.7 s after the end at the soonest.
+const PARTING: u64 = 300_000;
 /// A start beside an older process waits so long for discovery's word; the platform waits six seconds.
 const UNTOLD: u64 = 2_000_000;
 
@@ -110,6 +113,7 @@
         group = Some(board);
     }
     let lobby = Lobby::new(broker.clone(), seats);
+    let parting = lobby.clone();
     let listener = match std::env::var("LB_FD") {
         Ok(descriptor) if !descriptor.is_empty() => Listener::inherited(&descriptor, config.listen)?,
         _ => Listener::bind(config.listen).await?,
@@ -195,7 +199,7 @@
         if let Some(place) = &place {
             upgrade::leave(&broker, place, &config.name, broker.now() + span(&broker) + OVERTIME);
         }
-        leave(&broker, shared.then_some(&connections)).await;
+        leave(&broker, &parting, &connections, shared).await;
         clerk.write();
     };
     let door = async {
@@ -302,7 +306,7 @@
 
 /// The time in which all that stands is asked to move once the program is to end.
 fn span(broker: &Broker) -> u64 {
-    broker.longest().min(LONGEST_END)
+    broker.longest().clamp(COMING, LONGEST_END)
 }
 
 /// The program is to end: it goes on answering, and asks every client to come again, in time before it may
@@ -310,18 +314,25 @@
 ///
 /// Where it shares its socket with a process that comes after it there is somebody to come back to at once, and it
 /// ends when its last connection has.
-async fn leave(broker: &Rc<Broker>, shared: Option<&Connections>) {
+async fn leave(broker: &Rc<Broker>, lobby: &Lobby, connections: &Connections, shared: bool) {
     let (begun, span) = (broker.now(), span(broker));
-    let (from, end) = (if shared.is_some() { begun } else { begun + span * FROM / 10 }, begun + span);
+    let (from, end) = (if shared { begun } else { begun + span * FROM / 10 }, begun + span);
     tracing::info!("leaving: {} connections are asked to come again", broker.in_hand());
     broker.leave(from, end);
+    let mut parts = None;
     loop {
         let now = broker.now();
-        let early = shared.is_some_and(|connections| connections.open() == 0 && now >= begun + COMING);
-        let over = broker.in_hand() == 0 && now >= end;
-        if early || over || now >= end + OVERTIME {
+        if shared && connections.open() == 0 && now >= begun + COMING {
             break;
         }
+        if now >= end {
+            // Nobody is left without an answer: who rests here may be asking in this very moment.
+            lobby.clear();
+            let parted = connections.open() == 0 || now >= *parts.get_or_insert(now) + PARTING;
+            if parted && broker.in_hand() == 0 || now >= end + OVERTIME {
+                break;
+            }
+        }
         broker.after(20_000).await;
     }
     tracing::info!("left with {} connections in hand", broker.in_hand());
