Ask again at the send whether a repeat's window is open; it may close while it is dialled

Ruled out: the decision itself (may_repeat counts from the first attempt's decision, before it was sent). At fault: Execution::still_open asked the list alone. The shut listener that holds a dial is shared by the stories (tests/peers).

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -363,6 +363,9 @@
                 if ended {
                     return drop(self.calls.remove(&call));
                 }
+                if !outcome.never_ran() && c.maybe_ran.is_none() {
+                    c.maybe_ran = Some((host, c.sent_at));
+                }
                 if outcome == Outcome::Moot && c.sends > 1 {
                     // It was never sent: the retry budget gets it back.
                     let (at, tenant) = (c.sent_at, c.tenant);
@@ -371,10 +374,6 @@
                         found.map(|i| r.further.remove(i));
                     }
                 }
-                let Some(c) = self.calls.get_mut(&call) else { return };
-                if !outcome.never_ran() && c.maybe_ran.is_none() {
-                    c.maybe_ran = Some((host, c.sent_at));
-                }
                 self.advance(now, call, out);
             }
             Event::Probed { host, outcome, load } => {
@@ -654,8 +653,7 @@
         let tenant = self.calls.get(&id).and_then(|c| c.tenant);
         let tries = self.rations(tenant).map(|r| r.left(now)).fold(f64::INFINITY, f64::min);
         let Some(c) = self.calls.get(&id).filter(|c| c.out.is_none()) else { return };
-        let none = c.sends > 0 && tries < 1.0;
-        let pick = if none { None } else { self.choose(now, c) };
+        let pick = Some(c).filter(|c| c.sends == 0 || tries >= 1.0).and_then(|c| self.choose(now, c));
         let most = self.sends(c);
         let Some(host) = pick else { return self.give_up(id, out) };
         let doubtful = self.doubtful(now, c, host);
@@ -954,13 +952,8 @@
     /// The rules on one attempt: drains, and no effect twice.
     fn may_send(&self, now: Micros, c: &Call, id: HostId) -> bool {
         let Some(host) = self.hosts.get(&id) else { return false };
-        let open = match host.entry.state {
-            HostState::Ready => true,
-            HostState::Draining => {
-                c.mid_flow && now < host.told_at.saturating_add(self.settings.rules.drain_grace)
-            }
-            HostState::Gone => false,
-        };
+        let grace = || c.mid_flow && now < host.told_at.saturating_add(self.settings.rules.drain_grace);
+        let open = host.entry.state == HostState::Ready || host.entry.state == HostState::Draining && grace();
         open && !c.tried.contains(&id) && self.may_repeat(now, c, id) && self.cold_room(now, id, host, c)
     }
 
@@ -1105,6 +1098,11 @@
         self.book.count(c.class, c.load, into);
     }
 
+    /// Whether an attempt may still be sent: its window may have closed since it was decided on.
+    pub fn may_still(&self, now: Micros, call: &CallId, id: HostId) -> bool {
+        self.calls.get(call).is_none_or(|c| self.may_repeat(now, c, id))
+    }
+
     fn may_repeat(&self, now: Micros, c: &Call, id: HostId) -> bool {
         let Some((first, sent)) = c.maybe_ran else { return true };
         let Some(class) = self.settings.classes.get(c.class) else { return false };
--- a/src/broker/command.rs
+++ b/src/broker/command.rs
@@ -92,7 +92,7 @@
     let until = broker.now().saturating_add(demand.left).saturating_sub(ANSWER_AHEAD);
     let link = loop {
         let tried = async {
-            let execution = broker.execution(instance, until, &tally)?;
+            let execution = broker.execution(&demand.call, instance, until, &tally)?;
             dialer.execute(&execution).await.ok()
         };
         let again = async {
@@ -187,7 +187,7 @@
         self.out = Some((instance, now));
         self.executions += 1;
         let until = now.saturating_add(patience).min(self.deadline);
-        let execution = self.broker.execution(instance, until, tally);
+        let execution = self.broker.execution(&self.id, instance, until, tally);
         if execution.is_none() {
             self.finished(Outcome::Moot);
         }
--- a/src/broker/core.rs
+++ b/src/broker/core.rs
@@ -413,6 +413,11 @@
         self.contracts.as_ref()
     }
 
+    /// Whether an attempt that was decided on may still be sent, as the module sees it.
+    pub fn may_still(&self, now: Micros, call: &CallId, host: HostId) -> bool {
+        self.brain.may_still(now, call, host)
+    }
+
     /// How many instances may be sent something new, as the module sees them.
     pub fn takes(&self, now: Micros) -> usize {
         self.brain.hosts(now).iter().filter(|host| host.takes).count()
--- a/src/broker/front.rs
+++ b/src/broker/front.rs
@@ -47,15 +47,18 @@
     pub address: SocketAddr,
     /// When it is given up.
     pub until: Micros,
+    pub(super) call: CallId,
     pub(super) tally: Rc<Tally>,
     pub(super) broker: Rc<Broker>,
 }
 
 impl Execution {
-    /// Whether the instance takes new work still: to be asked right before the first byte, since it may have
-    /// begun to drain while the connection was made.
+    /// Whether it may be sent still: to be asked right before the first byte, since the instance may have begun to drain
+    /// while the connection was made, or the window of a repeat may have closed.
     pub fn still_open(&self) -> bool {
-        self.broker.state.borrow().instances.takes(self.instance)
+        let state = self.broker.state.borrow();
+        let allowed = state.core.may_still(self.broker.now(), &self.call, self.instance);
+        allowed && state.instances.takes(self.instance)
     }
 
     /// Its first words were written whole: from now on it may run.
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -430,10 +430,17 @@
         Members { listed, avoided: listed.saturating_sub(takes) }
     }
 
-    fn execution(self: &Rc<Self>, instance: HostId, until: Micros, tally: &Rc<Tally>) -> Option<Execution> {
+    fn execution(
+        self: &Rc<Self>,
+        call: &CallId,
+        instance: HostId,
+        until: Micros,
+        tally: &Rc<Tally>,
+    ) -> Option<Execution> {
         let state = self.state.borrow();
         let (name, address) = state.instances.get(instance).map(|i| (i.name.clone(), i.address))?;
-        Some(Execution { instance, name, address, until, tally: tally.clone(), broker: self.clone() })
+        let (call, tally) = (call.clone(), tally.clone());
+        Some(Execution { instance, name, address, until, call, tally, broker: self.clone() })
     }
 
     /// Whether the front is told to send clients.
--- a/tests/left.rs
+++ b/tests/left.rs
@@ -4,8 +4,7 @@
 
 mod peers;
 use peers::*;
-use socket2::{Domain, Socket, Type};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr};
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex};
 
@@ -16,44 +15,6 @@
         .replace("\"AimMs\":800", "\"AimMs\":9000")
 }
 
-/// A listener that takes nobody until it is opened: the queue of those that wait is full.
-struct Shut {
-    listener: TcpListener,
-    fillers: Vec<TcpStream>,
-}
-
-impl Shut {
-    fn new() -> Shut {
-        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
-        socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
-        socket.listen(0).unwrap();
-        let listener: TcpListener = socket.into();
-        let fillers = vec![TcpStream::connect(listener.local_addr().unwrap()).unwrap()];
-        Shut { listener, fillers }
-    }
-
-    fn address(&self) -> SocketAddr {
-        self.listener.local_addr().unwrap()
-    }
-
-    /// Waits until somebody dials: the kernel lists a connection to this port that is not up.
-    fn dialled(&self) {
-        let port = format!(":{:04X} ", self.address().port());
-        let dials = |line: &str| line.split_whitespace().nth(3) == Some("02") && line.contains(&port);
-        while !std::fs::read_to_string("/proc/net/tcp").unwrap().lines().any(dials) {
-            std::thread::yield_now();
-        }
-    }
-
-    /// Takes those that wait, and the one that dialled: its next try comes up within a second or two.
-    fn open(&self) -> Lines {
-        for _ in &self.fillers {
-            self.listener.accept().unwrap();
-        }
-        Lines::new(self.listener.accept().unwrap().0)
-    }
-}
-
 /// Guards against a first line that is sent for a client that left while its connection was made, both in one turn.
 #[test]
 fn a_client_that_leaves_while_the_connection_is_made_is_not_sent_on() {
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 use command_fds::{CommandFdExt, FdMapping};
+use socket2::{Domain, Socket, Type};
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::os::fd::OwnedFd;
@@ -109,6 +110,44 @@
     })
 }
 
+/// A listener that takes nobody until it is opened: the queue of those that wait is full.
+pub struct Shut {
+    listener: TcpListener,
+    fillers: Vec<TcpStream>,
+}
+
+impl Shut {
+    pub fn new() -> Shut {
+        let socket = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+        socket.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+        socket.listen(0).unwrap();
+        let listener: TcpListener = socket.into();
+        let fillers = vec![TcpStream::connect(listener.local_addr().unwrap()).unwrap()];
+        Shut { listener, fillers }
+    }
+
+    pub fn address(&self) -> SocketAddr {
+        self.listener.local_addr().unwrap()
+    }
+
+    /// Waits until somebody dials: the kernel lists a connection to this port that is not up.
+    pub fn dialled(&self) {
+        let port = format!(":{:04X} ", self.address().port());
+        let dials = |line: &str| line.split_whitespace().nth(3) == Some("02") && line.contains(&port);
+        while !std::fs::read_to_string("/proc/net/tcp").unwrap().lines().any(dials) {
+            std::thread::yield_now();
+        }
+    }
+
+    /// Takes those that wait, and the one that dialled: its next try comes up within a second or two.
+    pub fn open(&self) -> Lines {
+        for _ in &self.fillers {
+            self.listener.accept().unwrap();
+        }
+        Lines::new(self.listener.accept().unwrap().0)
+    }
+}
+
 /// An address on which nothing listens.
 pub fn nobody() -> SocketAddr {
     TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
