Ask at the log-in itself whether an XMPP server still takes new work

Seen by forcing the instant: a server that began to drain while it opened its stream was sent the log-in all the same; the question was asked before the header only, and what counts is the log-in. At fault: Replay::execute. Change: the same question again before <auth/> is written; not sent, it goes to the next server. Tests: two stories in tests/xmpp.rs, the drain one seen to fail before; the one of a client that has left was passed through by the shared mechanism of tests/left.rs and pins it for this front.

--- a/src/net/xmpp/mod.rs
+++ b/src/net/xmpp/mod.rs
@@ -361,6 +361,10 @@
                 _ => return Err(Outcome::Error),
             }
         }
+        // And while its stream was opened: only with the log-in has it been sent anything.
+        if !execution.still_open() {
+            return Err(Outcome::Moot);
+        }
         side.writer.write(&self.login.auth).await.map_err(|_| Outcome::Reset)?;
         execution.written();
         loop {
--- a/tests/xmpp.rs
+++ b/tests/xmpp.rs
@@ -376,3 +376,57 @@
     assert_eq!(desks[0].say("<presence></presence>").until("</presence>"), "<presence></presence>");
     drop(heard);
 }
+
+/// A server that opens its stream only when it is told to; it tells when a stream has come, and then all that came after.
+fn slow(told: Sender<(&'static str, String)>) -> (SocketAddr, Sender<()>) {
+    let (open, opened) = channel::<()>();
+    let opened = std::sync::Mutex::new(opened);
+    let address = instance(move |mut peer| {
+        peer.until("version='1.0'");
+        peer.until(">");
+        let _ = told.send(("slow", "came".into()));
+        if opened.lock().unwrap().recv().is_ok() {
+            let _ = peer.stream.write_all(format!("{OPENING}{FEATURES}").as_bytes());
+            let _ = told.send(("slow", peer.rest()));
+        }
+    });
+    (address, open)
+}
+
+/// Guards against a log-in that is sent to a server that has begun to drain while its stream was opened.
+#[test]
+fn a_log_in_is_not_sent_to_a_server_that_drains_since_its_stream_was_asked_for() {
+    let (told, heard) = channel();
+    let (address, open) = slow(told);
+    let discovery = Discovery::quiet();
+    let list = [entry("s-00000001", address, "ready")];
+    let operator = file(&[("s-00000001", address)], "");
+    let balancer = Balancer::start(&discovery, &list, Some(&operator));
+    discovery.called();
+    let mut client = log_in(&balancer, "ana");
+    assert_eq!(heard.recv().unwrap().1, "came");
+    discovery.push(&listing(2, &[entry("s-00000001", address, "draining")]));
+    balancer.logged("is draining");
+    open.send(()).unwrap();
+    assert!(!heard.recv().unwrap().1.contains("<auth"));
+    client.until("temporary-auth-failure");
+}
+
+/// Guards against a log-in that is sent for a client that left in the turn in which the server's stream opened.
+#[test]
+fn a_log_in_whose_client_has_left_is_not_sent() {
+    let (told, heard) = channel();
+    let (address, open) = slow(told);
+    let list = [entry("s-00000001", address, "ready")];
+    let operator = file(&[("s-00000001", address)], "");
+    let balancer = Balancer::start(&Discovery::quiet(), &list, Some(&operator));
+    let client = log_in(&balancer, "ana");
+    assert_eq!(heard.recv().unwrap().1, "came");
+    balancer.signal("-STOP");
+    drop(client);
+    open.send(()).unwrap();
+    // What was written for it is in the program's buffers before it goes on: the other way has carried it.
+    std::thread::sleep(Duration::from_millis(20));
+    balancer.signal("-CONT");
+    assert!(!heard.recv().unwrap().1.contains("<auth"));
+}
