Keep whole pieces to fleets whose mean server may not carry a group

Change: Brain::crowded compares a mean server's connections (sizes and loads told, 30 members as the guess) and, where it carries a group or more, leaves the rule as it was: pieces of four shares, clients by the square of the size.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -14,8 +14,7 @@
 
 /// Seed of the circle, the same at every node for ever: changing it moves every key.
 const CIRCLE: u64 = 0x6569_6465_7268_6561;
-/// Points of a server: arcs sum to an even share within about a tenth (one over the root of m; thesis,
-/// 2.2.3).
+/// Points of a server: arcs sum to an even share within a tenth (one over the root of m; thesis, 2.2.3).
 const POINTS: u64 = 100;
 /// Segments that the circle is kept in: some hundred servers then have about a hundred points in each.
 const SEGMENTS: usize = 256;
@@ -84,9 +83,9 @@
 /// most two. The cost is not told; charged whole at each of a hundred nodes it would scatter all groups.
 const GROUP: f64 = 6.0;
 /// A group is cut into pieces of this many servers' even share: each further piece costs one more server. The
-/// second, and so many at least, where a node sees little: it hardly knows sizes, and a piece goes whole.
-const PIECE: (f64, f64) = (2.0, 1.5);
-const PARTS: f64 = 2.0;
+/// second where a node sees little, the third and two at least where a server may not carry so many MEMBERS.
+const PIECE: (f64, f64, f64) = (2.0, 4.0, 1.5);
+const MEMBERS: f64 = 30.0;
 /// How alike in size groups are held to be before much of one is seen (shape of a gamma distribution), and
 /// how many pairs of requests the first guess at their mean size is worth.
 const ALIKE: f64 = 2.0;
@@ -224,11 +223,6 @@
         let (half, guest) = if little { (1.0, 0.0) } else { (0.5, if home { 0.0 } else { 0.5 }) };
         draw(host, self.own) * half + guest
     }
-
-    /// Its place for this try alone.
-    fn draw(&self, host: HostId) -> f64 {
-        draw(host, self.own ^ self.deadline)
-    }
 }
 
 /// What the ready hosts are together.
@@ -604,7 +598,8 @@
     fn pieces(&self, group: u64) -> u32 {
         let hosts = self.totals.ready as f64;
         let (n, k) = (self.grouped, self.groups.get(&group).copied().unwrap_or(0.0));
-        let (piece, least) = if self.little() { (PIECE.1, PARTS) } else { (PIECE.0, 1.0) };
+        let seen = if self.little() { PIECE.1 } else { PIECE.0 };
+        let (piece, least) = if self.crowded() { (PIECE.2, 2.0) } else { (seen, 1.0) };
         if hosts < least || k < 1.0 {
             return least as u32;
         }
@@ -667,8 +662,7 @@
         // Set up after its aim it is late anyway: the next successor is the better bet, if there is one more.
         let left = c.deadline - now;
         let aim = self.settings.classes.get(c.class).map_or(left, |class| class.aim);
-        let again = c.sends < most && tries >= 1.0;
-        let patience = if again && aim > 0 { aim.min(left) } else { left };
+        let patience = if c.sends < most && tries >= 1.0 && aim > 0 { aim.min(left) } else { left };
         if let Some(h) = self.hosts.get_mut(&host).filter(|h| h.fails > 0) {
             // Half-open: one trial at a time, until it is answered.
             h.ejected_until = now + EJECT;
@@ -743,9 +737,9 @@
         let all = self.load_in(&self.book) + self.load(c);
         let share = BOUND * all / self.totals.size.max(f64::MIN_POSITIVE);
         let part = if self.over_share(c) { OVER_SHARE.1 } else { 1.0 };
-        // Nodes that see little fill hosts by size only if each lets in so many of the pieces that meet it:
-        // whole ones, or every host on their way would pay for the group.
-        let little = self.little();
+        // Nodes that see little fill hosts by size only if each lets in so many of its clients, by the square.
+        // Or whole pieces, where many hosts would have to pay for a group.
+        let (little, crowded) = (self.little(), self.crowded());
         let largest = self.ready().filter(|_| little).map(|h| self.size_of(h)).fold(0.0, f64::max);
         let (mut ejected, mut spare, mut home, mut full) = (None, None, None, 0);
         for id in self.walk(c) {
@@ -760,7 +754,8 @@
             }
             let joins = c.grouped && !h.groups.contains_key(&c.point);
             let load = self.load_in(&h.book) + if joins { self.group_cost() * mean } else { 0.0 };
-            let small = draw(!id, c.point) * largest >= self.size_of(h);
+            let at = if crowded { draw(!id, c.point) } else { draw(!id, c.own).sqrt() };
+            let small = at * largest >= self.size_of(h);
             let fits = load + c.turn(id, home, little) * self.load(c) < part * self.ceiling(now, h);
             let busy = c.probes > 0 && h.fresh(now) && h.load > BUSY.0;
             if fits && !small && !busy && load < share * self.size_of(h) + SLACK * mean {
@@ -873,6 +868,13 @@
         self.settings.peers_total > SPREAD.1 && self.sparse() > LITTLE
     }
 
+    /// A mean server may not carry a group, as far as this node can tell.
+    fn crowded(&self) -> bool {
+        let sizes: f64 = self.ready().map(|h| self.size_of(h)).sum();
+        let carries = sizes * 1e6 / self.mean_load(self.settings.classes.len());
+        self.little() && !(self.measures() && carries >= MEMBERS * self.totals.ready as f64)
+    }
+
     /// An attempt failed there. Guards against hosts that are silent, fail fast or break what they are sent.
     fn failed(&mut self, now: Micros, id: HostId, least: u32) {
         self.trouble = Some(now);
@@ -998,18 +1000,16 @@
         let met = (self.hosts.len() as f64 / f64::from(SPREAD.0)).max(1.0);
         let fills = self.size_of(host) * 1e6 / LIFE / f64::from(self.settings.peers_total);
         let room = SAFE * rules.overload_factor * warmth * fills * gap * met;
-        // A light one counts as a mean one: what is held against a host are requests too.
-        let counts = self.load(c).max(self.mean_load(self.settings.classes.len()));
-        self.measures() && c.draw(id) * counts < room
+        self.measures() && draw(id, c.own ^ c.deadline) * self.load(c) < room
     }
 
     /// Whether the hosts as they are bear one client more at each node that holds as much: by chance, else
     /// all would stand on late hosts. Who is refused comes back spread out.
     fn bears(&self, c: &Call) -> bool {
         let part = FULL * self.totals.size * 1e6 / f64::from(self.settings.peers_total);
-        let held = f64::from(self.held[self.settings.tenants.len()] + 1);
-        let asked = held * self.mean_load(self.settings.classes.len());
-        c.begun || c.sends > 0 || !self.measures() || c.draw(0) * asked < part
+        let (tenants, classes) = (self.settings.tenants.len(), self.settings.classes.len());
+        let asked = f64::from(self.held[tenants] + 1) * self.mean_load(classes);
+        c.begun || c.sends > 0 || !self.measures() || draw(0, c.own ^ c.deadline) * asked < part
     }
 
     /// A node that sees little, but knows loads and sizes in the same unit.
@@ -1128,8 +1128,8 @@
         let repeatable = matches!(class, Some((Effect::Free, _) | (Effect::Guarded, GuardGroup::All)));
         let honest = c.maybe_ran.is_none() || repeatable;
         // Spread by chance over all that is allowed (full jitter): those turned away now do not come at once.
-        let (most, chance) = (self.settings.limits.retry_after, self.chance());
-        let retry_after = most.map(|most| (most as f64 * chance) as Micros);
+        let chance = self.chance();
+        let retry_after = self.settings.limits.retry_after.map(|most| (most as f64 * chance) as Micros);
         out.push(if honest { Action::Refuse { call: id, retry_after } } else { Action::Fail { call: id } });
     }
 
