--- a/src/brain.rs
+++ b/src/brain.rs
@@ -737,7 +737,7 @@
         let all = self.load_in(&self.book) + self.load(c);
         let share = BOUND * all / self.totals.size.max(f64::MIN_POSITIVE);
         let part = if self.over_share(c) { OVER_SHARE.1 } else { 1.0 };
-        // Nodes that see little fill hosts by size only if each lets in so many of its clients, by the square.
+        // Nodes that see little fill hosts by size only if each lets in so many clients, by the square.
         // Or whole pieces, where many hosts would have to pay for a group.
         let (little, crowded) = (self.little(), self.crowded());
         let largest = self.ready().filter(|_| little).map(|h| self.size_of(h)).fold(0.0, f64::max);
