Count light connections into cold servers as mean ones where whole pieces go

A whole piece meets one cold server, and its light members came nearly unchecked. At fault: Brain::cold_part. Change: where pieces go whole, a load under the mean counts as the mean.

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -737,8 +737,7 @@
         let all = self.load_in(&self.book) + self.load(c);
         let share = BOUND * all / self.totals.size.max(f64::MIN_POSITIVE);
         let part = if self.over_share(c) { OVER_SHARE.1 } else { 1.0 };
-        // Nodes that see little fill hosts by size only if each lets in so many clients, by the square.
-        // Or whole pieces, where many hosts would have to pay for a group.
+        // Nodes that see little fill hosts by size only if each lets in so many: clients, or whole pieces.
         let (little, crowded) = (self.little(), self.crowded());
         let largest = self.ready().filter(|_| little).map(|h| self.size_of(h)).fold(0.0, f64::max);
         let (mut ejected, mut spare, mut home, mut full) = (None, None, None, 0);
@@ -1000,7 +999,8 @@
         let met = (self.hosts.len() as f64 / f64::from(SPREAD.0)).max(1.0);
         let fills = self.size_of(host) * 1e6 / LIFE / f64::from(self.settings.peers_total);
         let room = SAFE * rules.overload_factor * warmth * fills * gap * met;
-        self.measures() && draw(id, c.own ^ c.deadline) * self.load(c) < room
+        let least = if self.crowded() { self.mean_load(self.settings.classes.len()) } else { 0.0 };
+        self.measures() && draw(id, c.own ^ c.deadline) * self.load(c).max(least) < room
     }
 
     /// Whether the hosts as they are bear one client more at each node that holds as much: by chance, else
