Lay a cold server's fall on balancers that were told of its start, as the terms do

Followed by its record: five sends within 0.7 s, four of them by balancers that had not been told that the server was replaced (the scenario tells 0.5 to 3 s late), so that they held it to be warm. The terms in force break the rule at a fall of which over two thirds came from balancers that were told. The checker now counts so, from the record (live runs do not note who is told: all are).

--- a/lab/src/live/site.rs
+++ b/lab/src/live/site.rs
@@ -160,6 +160,7 @@
         end,
         // As the rules on sockets count it: 50 ms more.
         drain_grace: 550_000,
+        fall_time: scenario.fleet.fall_time.0,
         capacity: capacity.map(|c| (c / balancers.len() as f64) as u64),
     });
     servers.serve(&site);
--- a/lab/src/score/record.rs
+++ b/lab/src/score/record.rs
@@ -42,6 +42,8 @@
         score_from: Micros,
         end: Micros,
         drain_grace: Micros,
+        /// Over how long what a cold server is sent is summed up.
+        fall_time: Micros,
         /// Each balancer's part of a stated capacity, where contracts have one.
         capacity: Option<u64>,
     },
--- a/lab/src/virt/engine.rs
+++ b/lab/src/virt/engine.rs
@@ -304,6 +304,7 @@
             score_from: begin,
             end,
             drain_grace: 500_000,
+            fall_time: self.scenario.fleet.fall_time.0,
             capacity,
         });
         for n in 0..self.nodes.len() {
