Let in at cold servers by the size that can be taken: the largest is no longer pushed over

Ruled out: tokens (none), steady first tries (2 of 66), a count of the walks that met a host (a node sees too few: no change). At fault: cold_part's `met`, hosts over 3. A walk passes hosts by their size and cold ones between: a host is met by its size over all that can be taken, so its size cancels out. Taken back: whole pieces where a server may not carry MEMBERS (30).

--- a/src/brain.rs
+++ b/src/brain.rs
@@ -23,9 +23,11 @@
 /// Of the steady traffic on its arcs a cold host is let in `overload_factor` times its warmth times this:
 /// a fleet at half of its capacity could stand twice its even share; uneven arcs and chance need the rest.
 const STEADY: f64 = 0.35;
-/// Part of the rule on cold hosts that nodes which see little use together, and the life that a connection is
-/// held to have: so long fills a host by its size (in standard cores, of which loads are counted).
-const SAFE: f64 = 1.0;
+/// What nodes which see little use together of what the rule lets a cold host be sent, and the life that a
+/// connection is held to have: so long fills a host by its size (in standard cores, of which loads are
+/// counted). Past the whole, as the rule allows for chance; of 285 nodes the host met most was then sent 0.78
+/// to 0.86 of what the rule lets it.
+const SAFE: f64 = 1.4;
 const LIFE: f64 = 60e6;
 /// Part of the sizes of all hosts, cold ones as they are, up to which nodes that see little let clients in:
 /// the rest goes to groups that many hosts pay for, to set-ups and to chance. Hurts where sizes are no cores.
@@ -83,9 +85,8 @@
 /// most two. The cost is not told; charged whole at each of a hundred nodes it would scatter all groups.
 const GROUP: f64 = 6.0;
 /// A group is cut into pieces of this many servers' even share: each further piece costs one more server. The
-/// second where a node sees little, the third and two at least where a server may not carry so many MEMBERS.
-const PIECE: (f64, f64, f64) = (2.0, 4.0, 1.5);
-const MEMBERS: f64 = 30.0;
+/// second where a node sees little: nodes' guesses, one arrival apart, scatter a group over more pieces.
+const PIECE: (f64, f64) = (2.0, 4.0);
 /// How alike in size groups are held to be before much of one is seen (shape of a gamma distribution), and
 /// how many pairs of requests the first guess at their mean size is worth.
 const ALIKE: f64 = 2.0;
@@ -598,14 +599,12 @@
     fn pieces(&self, group: u64) -> u32 {
         let hosts = self.totals.ready as f64;
         let (n, k) = (self.grouped, self.groups.get(&group).copied().unwrap_or(0.0));
-        let seen = if self.little() { PIECE.1 } else { PIECE.0 };
-        let (piece, least) = if self.crowded() { (PIECE.2, 2.0) } else { (seen, 1.0) };
-        if hosts < least || k < 1.0 {
-            return least as u32;
+        if hosts < 1.0 || k < 1.0 {
+            return 1;
         }
         let mean = (self.pairs + PAIRS / hosts) / (n * (n - 1.0) + PAIRS);
         let part = (k - 1.0 + ALIKE) / (n - 1.0 + ALIKE / mean);
-        (part * hosts / piece).round().clamp(least, hosts) as u32
+        (part * hosts / if self.little() { PIECE.1 } else { PIECE.0 }).round().clamp(1.0, hosts) as u32
     }
 
     fn successors(&self, point: u64) -> impl Iterator<Item = HostId> + '_ {
@@ -737,8 +736,9 @@
         let all = self.load_in(&self.book) + self.load(c);
         let share = BOUND * all / self.totals.size.max(f64::MIN_POSITIVE);
         let part = if self.over_share(c) { OVER_SHARE.1 } else { 1.0 };
-        // Nodes that see little fill hosts by size only if each lets in so many: clients, or whole pieces.
-        let (little, crowded) = (self.little(), self.crowded());
+        // Nodes that see little fill hosts by size only if each lets in so many of its clients. By the
+        // square: a host pays the same for a group or a heavy connection whatever its size.
+        let little = self.little();
         let largest = self.ready().filter(|_| little).map(|h| self.size_of(h)).fold(0.0, f64::max);
         let (mut ejected, mut spare, mut home, mut full) = (None, None, None, 0);
         for id in self.walk(c) {
@@ -753,8 +753,7 @@
             }
             let joins = c.grouped && !h.groups.contains_key(&c.point);
             let load = self.load_in(&h.book) + if joins { self.group_cost() * mean } else { 0.0 };
-            let at = if crowded { draw(!id, c.point) } else { draw(!id, c.own).sqrt() };
-            let small = at * largest >= self.size_of(h);
+            let small = draw(!id, c.own).sqrt() * largest >= self.size_of(h);
             let fits = load + c.turn(id, home, little) * self.load(c) < part * self.ceiling(now, h);
             let busy = c.probes > 0 && h.fresh(now) && h.load > BUSY.0;
             if fits && !small && !busy && load < share * self.size_of(h) + SLACK * mean {
@@ -867,13 +866,6 @@
         self.settings.peers_total > SPREAD.1 && self.sparse() > LITTLE
     }
 
-    /// A mean server may not carry a group, as far as this node can tell.
-    fn crowded(&self) -> bool {
-        let sizes: f64 = self.ready().map(|h| self.size_of(h)).sum();
-        let carries = sizes * 1e6 / self.mean_load(self.settings.classes.len());
-        self.little() && !(self.measures() && carries >= MEMBERS * self.totals.ready as f64)
-    }
-
     /// An attempt failed there. Guards against hosts that are silent, fail fast or break what they are sent.
     fn failed(&mut self, now: Micros, id: HostId, least: u32) {
         self.trouble = Some(now);
@@ -987,20 +979,21 @@
         let wave = if c.returned || c.sends > 0 { warmth * (1.0 - self.sparse()) } else { 1.0 };
         let steady = draw(id, c.own) < part * wave;
         let tokens = || self.cold_tokens(now, host, warmth) >= 1.0;
-        warmth >= 1.0 || steady || tokens() || self.cold_part(id, host, c, warmth)
+        warmth >= 1.0 || steady || tokens() || self.cold_part(id, c, warmth)
     }
 
     /// Where a token is made of many nodes' parts: by chance, what all may send there by its size since this
-    /// node's arrival before this one, and the more the fewer walks meet the host. Were all nodes asked at
-    /// once, what they make up for in one fits into the rule's span.
-    fn cold_part(&self, id: HostId, host: &Host, c: &Call, warmth: f64) -> bool {
+    /// node's arrival before this one, and the more the fewer walks meet the host. A walk passes so many that
+    /// have room, each as often as it is large, and the cold ones between: a host is met by its part of all
+    /// that can be taken, so that its own size cancels out. Were all nodes asked at once, what they make up
+    /// for in one fits into the rule's span.
+    fn cold_part(&self, id: HostId, c: &Call, warmth: f64) -> bool {
         let rules = &self.settings.rules;
-        let gap = (c.gap as f64).min(rules.fall_time as f64 / SAFE);
-        let met = (self.hosts.len() as f64 / f64::from(SPREAD.0)).max(1.0);
-        let fills = self.size_of(host) * 1e6 / LIFE / f64::from(self.settings.peers_total);
-        let room = SAFE * rules.overload_factor * warmth * fills * gap * met;
-        let least = if self.crowded() { self.mean_load(self.settings.classes.len()) } else { 0.0 };
-        self.measures() && draw(id, c.own ^ c.deadline) * self.load(c).max(least) < room
+        let gap = (c.gap as f64).min(rules.fall_time as f64);
+        let met = self.totals.size / f64::from(SPREAD.0);
+        let fills = met * 1e6 / LIFE / f64::from(self.settings.peers_total);
+        let room = SAFE * rules.overload_factor * warmth * fills * gap;
+        self.measures() && draw(id, c.own ^ c.deadline) * self.load(c) < room
     }
 
     /// Whether the hosts as they are bear one client more at each node that holds as much: by chance, else
--- a/tests/rules.rs
+++ b/tests/rules.rs
@@ -315,13 +315,15 @@
 }
 
 /// Nodes that see little and know loads and sizes: what they send together to cold hosts of these sizes in
-/// each of the rule's spans, in parts of what it allows over that time. A wave of returning
+/// each of the rule's spans, in parts of what it allows over that time, for hosts of one size or all. A wave of returning
 /// clients reaches all at once after a long quiet; then they come at unequal rates.
-fn sent_by_size(nodes: u32, seed: u64) -> Vec<f64> {
+fn sent_by_size(nodes: u32, seed: u64, of: Option<f64>) -> Vec<f64> {
     let (mut s, load, life) = (settings(), 40e3, 45.0);
     (s.peers_total, s.weighted, s.rules.fall_time) = (nodes, true, 1_500 * MS);
     let (start, span, end) = (60 * S, s.rules.fall_time, 8 * S);
     let size = |h: HostId| [1.5, 2.0, 4.0][h as usize % 3];
+    // Where hosts of one size are looked at it must not hang on the arcs that a few groups are in.
+    let group = |n: u32| of.map_or(format!("g{}", n % 6), |_| format!("g{seed}-{}", n % 30));
     let cold: Vec<HostId> = (1..=8).collect();
     let entries = |restarted: bool| -> Vec<Entry> {
         let at = |h: HostId| if restarted && cold.contains(&h) { start } else { 0 };
@@ -340,7 +342,7 @@
         let first = u64::from(n * 37 % 100) * 10 * MS;
         for now in (0..).map(|i| start + first + i * step).take_while(|&now| now < start + end) {
             let call = format!("{seed}-{n}-{now}");
-            let (key, group) = (Some(call.as_str().into()), Some(format!("g{}", n % 6).into()));
+            let (key, group) = (Some(call.as_str().into()), Some(group(n).into()));
             let demand = Demand { key, group, returned: true, ..Demand::new(&call, 0, 2 * S) };
             if let Some(host) = sent(&node.tell(now, Event::Demand(demand))) {
                 at_cold.extend(cold.contains(&host).then_some((host, now)));
@@ -356,10 +358,11 @@
     let within = |h: HostId, from: Micros, to: Micros| {
         at_cold.iter().filter(|&&(host, at)| host == h && (from..to).contains(&(at - start))).count() as f64
     };
+    let counted: Vec<HostId> = cold.iter().copied().filter(|&h| of.is_none_or(|of| size(h) == of)).collect();
     let windows = (0..end / span).map(|i| {
         let (from, to) = (i * span, (i + 1) * span);
         let sums =
-            cold.iter().fold((0.0, 0.0), |(a, b), &h| (a + within(h, from, to), b + may(h, from, span)));
+            counted.iter().fold((0.0, 0.0), |(a, b), &h| (a + within(h, from, to), b + may(h, from, span)));
         sums.0 / sums.1
     });
     windows.collect()
@@ -368,7 +371,7 @@
 #[test]
 fn nodes_that_see_little_use_a_cold_hosts_budget_and_keep_it_in_a_wave() {
     for nodes in [12, 100, 200] {
-        let days: Vec<Vec<f64>> = (0..20).map(|seed| sent_by_size(nodes, seed)).collect();
+        let days: Vec<Vec<f64>> = (0..20).map(|seed| sent_by_size(nodes, seed, None)).collect();
         for i in 0..days[0].len() {
             let part = days.iter().map(|windows| windows[i]).sum::<f64>() / days.len() as f64;
             assert!(part < 1.0, "{nodes} nodes, span {i}: {part} of the rule");
@@ -380,6 +383,19 @@
     }
 }
 
+/// Guards against the largest cold host being pushed over while small ones are sent little: a walk that passes hosts by
+/// their size meets it most often. The build before sent the large ones 2.7 times the
+/// small ones' part.
+#[test]
+fn a_large_cold_host_is_sent_no_greater_part_of_its_budget_than_a_small_one() {
+    let part = |of: f64| {
+        let days: Vec<f64> = (0..20).flat_map(|seed| sent_by_size(200, seed, Some(of))).collect();
+        days.iter().sum::<f64>() / days.len() as f64
+    };
+    let (large, small) = (part(4.0), part(1.5));
+    assert!(large < 0.9 && large < 2.2 * small, "of the rule: {large} of large ones, {small} of small ones");
+}
+
 #[test]
 fn short_drain_graces_hold_for_nodes_with_an_old_list_too() {
     for grace in [200 * MS, 250 * MS] {
