Take back the planner's spare room: a zone that is just large enough turned clients away

They evacuate a zone into one that has exactly the room for both; less its root (80 of 90) a fifth of the class was sent away.

--- a/src/failover/plan.rs
+++ b/src/failover/plan.rs
@@ -407,10 +407,7 @@
         }
         let ask = |zone: &String| self.classes.iter().map(|class| wants(digests, zone, class)).collect();
         let all: Vec<Vec<f64>> = self.zones.iter().map(ask).collect();
-        // Shares are taken by client, so that by chance some more come than the share, by about the root of what is meant.
-        let most = |room: f64| (room - room.sqrt()).max(room / 2.0);
-        let mut rooms: Vec<f64> =
-            self.zones.iter().map(|zone| most(terms.fill * room(digests, zone))).collect();
+        let mut rooms: Vec<f64> = self.zones.iter().map(|zone| terms.fill * room(digests, zone)).collect();
         let look = now >= self.trimmed + terms.tell.max(250_000);
         for (z, room) in rooms.iter_mut().enumerate() {
             let held = stands(digests, &self.zones[z]);
