Have the rig log who had no answer, and what a zone holds beyond what it held before

Change: the rig writes its own lines among the logs of the processes, with the time as they write it. No verdict changes.

--- a/lab/src/fleet/process.rs
+++ b/lab/src/fleet/process.rs
@@ -12,7 +12,7 @@
 use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 /// All processes of one run.
 pub struct Fleet {
@@ -29,7 +29,18 @@
     over: Arc<AtomicBool>,
     children: Vec<Option<Child>>,
     doors: Vec<Option<(SocketAddr, SocketAddr)>>,
-    log: Arc<Mutex<Vec<(usize, String)>>>,
+    log: Log,
+}
+
+/// Lines with the number of the process that each is of.
+pub type Log = Arc<Mutex<Vec<(usize, String)>>>;
+
+/// The rig's own line on a process, with the time as the processes write it.
+pub fn note(log: &Log, i: usize, what: &str) {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let (s, us) = (now.as_secs() % 86_400, now.subsec_micros());
+    let line = format!("rig T{:02}:{:02}:{:02}.{us:06}Z {what}", s / 3_600, s / 60 % 60, s % 60);
+    let _ = log.lock().map(|mut log| log.push((i, line)));
 }
 
 /// How the servers of a zone do.
@@ -341,6 +352,11 @@
         self.children[i].is_some()
     }
 
+    /// Where the rig writes what it saw itself, beside what the processes log.
+    pub fn log(&self) -> Log {
+        self.log.clone()
+    }
+
     /// How much has been logged.
     pub fn mark(&self) -> usize {
         self.log.lock().map_or(0, |log| log.len())
@@ -384,10 +400,7 @@
         let came = tried();
         let served = matches!(came, Ok(true));
         if !served {
-            let _ = self
-                .log
-                .lock()
-                .map(|mut log| log.push((i, format!("rig: client {id} was not served: {came:?}"))));
+            note(&self.log, i, &format!("client {id} was not served: {came:?}"));
         }
         served
     }
--- a/lab/src/fleet/zones.rs
+++ b/lab/src/fleet/zones.rs
@@ -1,6 +1,6 @@
 //! Zones in the rig: clients at every process all the time, what stands where, which plans were made and followed.
 
-use super::process::Fleet;
+use super::process::{note, Fleet};
 use super::scenario::{Zones, ZONES};
 use serde::Serialize;
 use std::collections::BTreeMap;
@@ -130,8 +130,9 @@
         let (over, counts) = (Arc::new(AtomicBool::new(false)), Arc::new(Counts::default()));
         let at = Arc::new(Mutex::new((0..fleet.len()).map(|i| fleet.lines_at(i)).collect::<Vec<_>>()));
         let mut clients = Vec::new();
+        let log = fleet.log();
         for (i, k) in (0..fleet.len()).flat_map(|i| (0..zones.clients).map(move |k| (i, k))) {
-            let (over, counts, at) = (over.clone(), counts.clone(), at.clone());
+            let (over, counts, at, log) = (over.clone(), counts.clone(), at.clone(), log.clone());
             clients.push(thread::spawn(move || {
                 let class = if k % 4 == 0 { "payout" } else { "watch" };
                 let mut n = 0u64;
@@ -154,6 +155,7 @@
                         }
                         Ok(Came::Nothing) => {
                             counts.unanswered.fetch_add(1, Relaxed);
+                            note(&log, i, &format!("no answer: {}", open.trim_end()));
                             Duration::from_millis(100)
                         }
                         // Its process was killed, or it was told of a failure: one final answer either way.
@@ -204,7 +206,10 @@
         let room = self.zones.room * self.zones.servers as u64;
         for to in 0..3 {
             let here: u64 = all.iter().map(|from| from[to]).sum();
-            self.fullest.fetch_max(100 * here / room.max(1), Relaxed);
+            let part = 100 * here / room.max(1);
+            if self.fullest.fetch_max(part, Relaxed) < part {
+                note(&fleet.log(), 0, &format!("zone {} holds {here} of {room}: {all:?}", ZONES[to]));
+            }
         }
         if let Ok(mut crossed) =
             self.crossed.lock().map_err(drop).and_then(|c| if faulty { Err(()) } else { Ok(c) })
