Know a client by its team and key: another team's of the same key is another client

Loads were remembered and standing connections of the process before were found by the client key alone (src/broker/core.rs comes_over and admit, src/broker/loads.rs): a client of one team was guessed at the load of another team's client of the same key, and as it came to a new process that team's place was given away, so that the team could be granted one more than its contract. Change: both go by team and key. Where no team is named nothing changes. The inline tests of both files are in files of their own.

--- a/src/broker/core.rs
+++ b/src/broker/core.rs
@@ -6,7 +6,7 @@
 //! ends; moves that contracts want come out as the module's own do.
 
 use super::handover::Stand;
-use super::loads::Loads;
+use super::loads::{Client, Loads};
 use super::zones::{Known, Place, Zones};
 use crate::api::*;
 use crate::contracts::ledger::Reason;
@@ -44,7 +44,16 @@
     stands: bool,
 }
 
+/// Who a client is by what it named.
+fn client(team: Option<&str>, key: &Option<Arc<str>>) -> Option<Client> {
+    Some((team.map(Into::into), key.clone()?))
+}
+
 impl Book {
+    fn client(&self) -> Option<Client> {
+        client(self.team.as_deref(), &self.key)
+    }
+
     fn known<'a>(&'a self, call: &'a CallId) -> Known<'a> {
         Known { class: self.class, group: self.group.as_deref(), key: self.key.as_deref(), call }
     }
@@ -73,8 +82,8 @@
     loads: Loads,
     /// The fleet's plan for zones; none where the operator wants none.
     zones: Option<Zones>,
-    /// Connections that stand at the process before this one, by client key: their clients come here.
-    older: BTreeMap<Arc<str>, Vec<CallId>>,
+    /// Connections that stand at the process before this one: their clients come here. Who named no key is under none.
+    older: BTreeMap<Option<Client>, Vec<CallId>>,
     /// Instances that the list calls ready: size, and when each was started.
     ready: BTreeMap<HostId, (f64, Micros)>,
 }
@@ -100,9 +109,9 @@
     /// told as [`Event::Demand`], or taken back with [`Core::withdraw`].
     pub fn admit(&mut self, now: Micros, demand: &mut Demand, team: Option<&str>) -> Result<(), Refused> {
         if demand.returned || demand.repeat {
-            self.comes_over(now, demand);
+            self.comes_over(now, client(team, &demand.key));
         }
-        demand.hint = demand.hint.or(demand.key.as_deref().and_then(|key| self.loads.usual(now, key)));
+        demand.hint = demand.hint.or_else(|| self.loads.usual(now, &client(team, &demand.key)?));
         demand.tenant = team.and_then(|name| self.projects.iter().position(|p| p == name));
         let mut ticket = None;
         if let Some(contracts) = &mut self.contracts {
@@ -163,7 +172,7 @@
     /// What stands here, for the process after this one.
     pub fn stands(&self, now: Micros) -> Vec<Stand> {
         let text = |text: &Option<Arc<str>>| text.as_deref().map(String::from);
-        let usual = |book: &Book| book.key.as_deref().and_then(|key| self.loads.usual(now, key));
+        let usual = |book: &Book| self.loads.usual(now, &book.client()?);
         let stand = |book: &Book| {
             let class = self.frame.classes.get(book.class)?.0.to_string();
             let (team, key, group) = (text(&book.team), text(&book.key), text(&book.group));
@@ -181,11 +190,12 @@
             let id = format!("older {i}");
             let key: Option<Arc<str>> = stand.key.map(Into::into);
             let (group, hint) = (stand.group.map(Into::into), stand.load.filter(|load| load.is_finite()));
-            key.iter().zip(hint).for_each(|(key, load)| self.loads.told(now, key, load));
-            let demand = Demand { key: key.clone(), group, hint, ..Demand::new(&id, class, Micros::MAX / 4) };
+            let whose = client(stand.team.as_deref(), &key);
+            whose.iter().zip(hint).for_each(|(whose, load)| self.loads.told(now, whose, load));
+            let demand = Demand { key, group, hint, ..Demand::new(&id, class, Micros::MAX / 4) };
             // It stands elsewhere: what moves it decides is decided there.
             self.adopt(now, demand, stand.team.as_deref(), stand.instance);
-            self.older.entry(key.unwrap_or_default()).or_default().push(id.as_str().into());
+            self.older.entry(whose).or_default().push(id.as_str().into());
         }
     }
 
@@ -196,9 +206,9 @@
     }
 
     /// A client that stood at the process before this one comes here.
-    fn comes_over(&mut self, now: Micros, demand: &mut Demand) {
-        let Some(key) = demand.key.clone() else { return };
-        let Some(call) = self.older.get_mut(&key).and_then(Vec::pop) else { return };
+    fn comes_over(&mut self, now: Micros, whose: Option<Client>) {
+        let known = whose.is_some().then(|| self.older.get_mut(&whose)).flatten();
+        let Some(call) = known.and_then(Vec::pop) else { return };
         self.tell(now, Event::Vanished { call }, &mut Vec::new());
     }
 
@@ -224,7 +234,7 @@
             Event::LoadNote { call, load } => {
                 if let Some(book) = self.books.get_mut(call) {
                     book.load = Some(*load);
-                    book.key.iter().for_each(|key| self.loads.told(now, key, *load));
+                    book.client().iter().for_each(|whose| self.loads.told(now, whose, *load));
                 }
             }
             Event::Finished { call, host, outcome, ended, .. } => {
@@ -466,109 +476,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::*;
-    use proptest::prelude::*;
-    use std::collections::BTreeSet;
-
-    const S: Micros = 1_000_000;
-
-    fn core(hosts: u32, teams: &[Contract]) -> Core {
-        let class = Class {
-            aim: S,
-            effect: Effect::Free,
-            guard: GuardGroup::All,
-            window: S,
-            message_aim: S,
-            deadline: 2 * S,
-            worth: 1.0,
-        };
-        let env = crate::wire::Env {
-            classes: Some(vec![crate::wire::EnvClass { name: Some("watch".into()), ..Default::default() }]),
-            ..Default::default()
-        };
-        let (_, names) = env.translate().unwrap();
-        let settings = Settings { classes: vec![class], peers_total: 1, ..Settings::default() };
-        let mut core = Core::new(settings, &names, 1).unwrap();
-        let list = Event::Members { kind: ListKind::Cached, hosts: (1..=hosts).map(Entry::ready).collect() };
-        core.tell(S, list, &mut Vec::new());
-        core.contract(S, Some(Terms { contracts: teams.to_vec(), ..Terms::default() }));
-        core
-    }
-
-    /// One client asks; whether it was brought up.
-    fn ask(core: &mut Core, now: Micros, id: &str, key: &str, back: bool) -> bool {
-        let mut demand = Demand { key: Some(key.into()), returned: back, ..Demand::new(id, 0, 2 * S) };
-        let call = demand.call.clone();
-        if core.admit(now, &mut demand, Some("south")).is_err() {
-            return false;
-        }
-        let mut actions = Vec::new();
-        core.tell(now, Event::Demand(demand), &mut actions);
-        let Some(host) = actions.iter().find_map(|a| match a {
-            Action::Send { host, .. } => Some(*host),
-            _ => None,
-        }) else {
-            return false;
-        };
-        core.tell(now, Event::Opened { call, host, elapsed: 1 }, &mut actions);
-        true
-    }
-
-    proptest! {
-        /// Guards against a pair of processes that together grant a team more than one balancer may, a client that is
-        /// booked twice when it comes over, and room that never comes back.
-        #[test]
-        fn an_old_and_a_new_process_grant_together_what_one_may(
-            room in 1usize..20,
-            comes in proptest::collection::vec((any::<bool>(), 0usize..20), 1..80),
-        ) {
-            let team = Contract { connections: room as f64, borrow: false, ..Contract::none("south") };
-            let teams = [team];
-            let (mut old, mut new) = (core(3, &teams), core(3, &teams));
-            let up = |core: &mut Core, i: usize| ask(core, S, &format!("o{i}"), &format!("k{i}"), false);
-            let stood = (0..room).filter(|&i| up(&mut old, i)).count();
-            prop_assert_eq!(stood, room);
-            new.inherit(S, old.stands(S));
-            let (mut at_old, mut at_new): (BTreeSet<usize>, usize) = ((0..room).collect(), 0);
-            for (n, (back, i)) in comes.into_iter().enumerate() {
-                let i = i % room;
-                if back && at_old.remove(&i) {
-                    // Moved by the old one, it comes here, and has its place.
-                    let gone = Event::Finished {
-                        call: format!("o{i}").as_str().into(),
-                        attempt: 0,
-                        host: 1,
-                        outcome: Outcome::Cancelled,
-                        elapsed: S,
-                        ended: true,
-                    };
-                    old.tell(S, gone, &mut Vec::new());
-                    let has_its_place = ask(&mut new, S, &format!("n{n}"), &format!("k{i}"), true);
-                    prop_assert!(has_its_place);
-                    at_new += 1;
-                } else if ask(&mut new, S, &format!("n{n}"), &format!("other{n}"), back) {
-                    at_new += 1;
-                }
-                prop_assert!(at_old.len() + at_new <= room, "{} and {at_new} of {room}", at_old.len());
-            }
-            new.alone(S);
-            let more = (0..room).filter(|i| ask(&mut new, S, &format!("l{i}"), &format!("late{i}"), false)).count();
-            prop_assert_eq!(at_new + more, room);
-        }
-    }
-
-    /// Guards against a client whose load is known and that is placed like any other once it comes again.
-    #[test]
-    fn a_client_that_comes_again_is_placed_by_the_load_that_it_had() {
-        let mut core = core(2, &[]);
-        assert!(ask(&mut core, S, "a", "k", false));
-        core.tell(S, Event::LoadNote { call: "a".into(), load: 763_000.0 }, &mut Vec::new());
-        let mut demand = Demand { key: Some("k".into()), ..Demand::new("b", 0, S) };
-        core.admit(2 * S, &mut demand, None).unwrap();
-        assert_eq!(demand.hint, Some(763_000.0));
-        let mut other = Demand { key: Some("other".into()), ..Demand::new("c", 0, S) };
-        core.admit(2 * S, &mut other, None).unwrap();
-        assert_eq!(other.hint, None);
-    }
-}
+#[path = "core_tests.rs"]
+mod tests;
