Have the scripted instances that several suites need in one place

Found on reading the whole change: tests/crossings.rs wrote again what tests/left.rs had (patient settings, an instance that is told what to answer), and tests/customers.rs what tests/windows.rs had (an instance that may have run what it was sent). Change: the three stand in tests/peers, in the form that holds for all four suites: probes are not told of as commands.

--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -111,6 +111,43 @@
     })
 }
 
+/// An instance that may have run what it was sent, and says no more than that.
+pub fn failing(told: Sender<String>) -> SocketAddr {
+    instance(move |mut peer| {
+        let first = peer.hear();
+        if first.starts_with("OPEN") {
+            let _ = told.send(first);
+            peer.say("ERR\r\n");
+        }
+        peer.rest();
+    })
+}
+
+/// An instance that tells of each first line and says what it is told to, and tells how its connection went on.
+pub fn held(told: Sender<String>) -> (SocketAddr, Sender<&'static str>) {
+    let (say, said) = channel::<&'static str>();
+    let said: Arc<Mutex<Receiver<&'static str>>> = Arc::new(Mutex::new(said));
+    let address = instance(move |mut peer| {
+        let first = peer.hear();
+        if !first.starts_with("OPEN") {
+            return;
+        }
+        let _ = told.send(first);
+        let Ok(answer) = said.lock().unwrap().recv() else { return };
+        let _ = peer.stream.write_all(answer.as_bytes());
+        loop {
+            let line = peer.hear();
+            let ends = matches!(line.as_str(), "END" | "RESET");
+            let _ = peer.stream.write_all(format!("{line}\r\n").as_bytes());
+            let _ = told.send(format!("then {line}"));
+            if ends {
+                return;
+            }
+        }
+    });
+    (address, say)
+}
+
 /// A listener that takes nobody until it is opened: the queue of those that wait is full.
 pub struct Shut {
     listener: TcpListener,
@@ -264,6 +301,13 @@
   "Guarantees":{"ColdShare":1.0,"DrainGraceMs":500,"MustAskInMs":10000},
   "PolicyLimits":{"SendCap":4,"ConnectTimeoutMs":500,"RetryAfter":true,"MaxRetryAfterMs":2000}}"#;
 
+/// Settings that give a dial its time.
+pub fn patient() -> String {
+    SETTINGS
+        .replace("\"ConnectTimeoutMs\":500", "\"ConnectTimeoutMs\":8000")
+        .replace("\"AimMs\":800", "\"AimMs\":9000")
+}
+
 impl Balancer {
     /// Starts it with this list, and an operator's file where there is one.
     pub fn start(discovery: &Discovery, known: &[String], operator: Option<&str>) -> Balancer {
