Log each send into a zone, turns of the group that come late, and slow writes of a voter

Change: src/broker/occupancy.rs counts what is established and in flight in each zone, from the send of an attempt to its end; oakdeal::admissions=debug logs each send with zone, plan, established and in flight. A turn of the group's task that comes later than 0.25 s after the one before, and a write of a voter's log that takes longer than 0.1 s, are warnings. Nothing decides by it yet.

--- a/src/broker/core.rs
+++ b/src/broker/core.rs
@@ -7,6 +7,7 @@
 
 use super::handover::Stand;
 use super::loads::{Client, Loads};
+use super::occupancy::Slot;
 use super::zones::{Known, Place, Zones};
 use crate::api::*;
 use crate::contracts::ledger::Reason;
@@ -42,6 +43,8 @@
     /// What it holds of its team's contract, where there are contracts.
     ticket: Option<Ticket>,
     stands: bool,
+    /// The capacity of a zone that it takes up, where there is a plan for zones.
+    slot: Option<Slot>,
 }
 
 /// Who a client is by what it named.
@@ -162,7 +165,8 @@
             demand.tenant = Some(projects + id);
             contracts.adopt(now, id, demand.class, &demand.call)
         });
-        let book = Book { ticket, stands: true, host, load: demand.hint, ..Book::of(&demand, team) };
+        let slot = self.zones.as_mut().and_then(|zones| zones.adopt(host));
+        let book = Book { ticket, stands: true, host, slot, load: demand.hint, ..Book::of(&demand, team) };
         self.books.insert(demand.call.clone(), book);
         let (event, mut actions) = (Event::Adopted(demand, host), Vec::new());
         tracing::debug!("told: {event:?}");
@@ -228,6 +232,7 @@
                     (book.stands, book.host) = (true, *host);
                     if let Some(zones) = &mut self.zones {
                         zones.up(now, &book.known(call), *host, *elapsed);
+                        book.slot.iter_mut().for_each(|slot| zones.establish(slot));
                     }
                     if let Some((ticket, contracts)) = book.ticket.as_ref().zip(self.contracts.as_mut()) {
                         contracts.stands(ticket);
@@ -250,6 +255,8 @@
                 }
                 if *ended {
                     self.release(now, call, if stands { End::Ended } else { End::Lost });
+                } else {
+                    self.vacate(call);
                 }
             }
             Event::Vanished { call } => {
@@ -272,6 +279,7 @@
                 self.books.get(call).iter().for_each(|book| zones.unserved(now, &book.known(call)));
             }
             match action {
+                Action::Send { call, host, .. } => self.occupy(call, *host),
                 Action::Refuse { call, .. } => self.release(now, call, End::TurnedAway),
                 Action::Fail { call } => self.release(now, call, End::Lost),
                 _ => {}
@@ -279,7 +287,20 @@
         }
     }
 
+    /// An attempt takes up capacity of its server's zone from its send on.
+    fn occupy(&mut self, call: &CallId, host: HostId) {
+        let Some((book, zones)) = self.books.get_mut(call).zip(self.zones.as_mut()) else { return };
+        book.slot = zones.send(call, host);
+    }
+
+    /// An attempt is over: its capacity is free.
+    fn vacate(&mut self, call: &CallId) {
+        let Some((book, zones)) = self.books.get_mut(call).zip(self.zones.as_mut()) else { return };
+        book.slot.take().into_iter().for_each(|slot| zones.release(slot));
+    }
+
     fn release(&mut self, now: Micros, call: &CallId, end: End) {
+        self.vacate(call);
         let ticket = self.books.remove(call).and_then(|book| book.ticket);
         if let Some((ticket, contracts)) = ticket.zip(self.contracts.as_mut()) {
             contracts.over(now, ticket, end);
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -13,6 +13,7 @@
 pub mod handover;
 pub mod instances;
 pub mod loads;
+pub mod occupancy;
 pub mod operations;
 pub mod zones;
 
--- a/src/broker/zones.rs
+++ b/src/broker/zones.rs
@@ -1,6 +1,7 @@
 //! Zones under the fleet's plan: where a command goes, what this balancer's sockets show of each zone, and who moves. It holds no
 //! opinion of its own: [`crate::failover`] decides, and the module places within the zone.
 
+use super::occupancy::{Occupancies, Slot};
 use crate::api::*;
 use crate::failover::evidence::{Digest, Event as Note, Meter};
 use crate::failover::follow::{Choice, Follower};
@@ -49,8 +50,12 @@
     phase: u64,
     looked: Micros,
     probes: usize,
+    occupancies: Occupancies,
 }
 
+/// The target of the log line for each attempt that is sent to a zone.
+const ADMISSIONS: &str = "oakdeal::admissions";
+
 /// What a client is known by where zones are chosen: whoever shares a group goes together.
 fn key<'a>(group: Option<&'a str>, key: Option<&'a str>, call: &'a CallId) -> &'a str {
     group.or(key).unwrap_or(&call.0)
@@ -84,7 +89,8 @@
         let follower = Follower::new(terms, &place.name, &place.zone);
         let (meter, instances) = (Meter::default(), BTreeMap::new());
         let phase = xxh64(place.name.as_bytes(), 1) % 4_096;
-        Zones { place, follower, meter, instances, number: 0, phase, looked: 0, probes: 0 }
+        let occupancies = Occupancies::default();
+        Zones { place, follower, meter, instances, number: 0, phase, looked: 0, probes: 0, occupancies }
     }
 
     fn index(&self, zone: &str) -> Option<usize> {
@@ -138,6 +144,31 @@
         }
     }
 
+    /// An attempt is sent to a server: the capacity that it takes up until it is over.
+    pub fn send(&mut self, call: &CallId, host: HostId) -> Option<Slot> {
+        let zone = self.zone_of(host)?;
+        let held = self.occupancies.of(zone);
+        let (name, plan) = (self.place.zones.get(zone).map_or("", String::as_str), self.follower.follows());
+        let (established, in_flight) = (held.established, held.in_flight);
+        tracing::debug!(target: ADMISSIONS, zone = name, plan, established, in_flight, call = &*call.0, "sent to a zone");
+        Some(self.occupancies.send(zone))
+    }
+
+    /// A connection that stands already is taken in.
+    pub fn adopt(&mut self, host: HostId) -> Option<Slot> {
+        Some(self.occupancies.adopt(self.zone_of(host)?))
+    }
+
+    /// The attempt in this slot came up.
+    pub fn establish(&mut self, slot: &mut Slot) {
+        self.occupancies.establish(slot);
+    }
+
+    /// The attempt or connection in this slot is over.
+    pub fn release(&mut self, slot: Slot) {
+        self.occupancies.release(slot);
+    }
+
     /// An execution came up at an instance.
     pub fn up(&mut self, now: Micros, known: &Known, host: HostId, took: Micros) {
         self.meter.served(now, known.class, known.client(), true);
--- a/src/group/folder.rs
+++ b/src/group/folder.rs
@@ -9,11 +9,14 @@
 use raft::eraftpb::{Entry, HardState, Snapshot};
 use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
 use std::path::Path;
+use std::time::{Duration, Instant};
 
 const LOG: TableDefinition<u64, &[u8]> = TableDefinition::new("log");
 const META: TableDefinition<&str, &[u8]> = TableDefinition::new("meta");
 /// The file in the folder.
 const FILE: &str = "voter.redb";
+/// A write that takes longer than this is logged.
+const SLOW_WRITE: Duration = Duration::from_millis(100);
 
 /// What a voter kept.
 #[derive(Clone, Debug, Default)]
@@ -158,6 +161,7 @@
 
 impl Keep for Folder {
     fn save(&mut self, save: Save) -> Result<(), String> {
+        let begun = Instant::now();
         let Save { entries, hard, snapshot, anew } = save;
         let write = self.0.begin_write().map_err(told)?;
         {
@@ -182,6 +186,12 @@
                 log.retain_in(..=snapshot.get_metadata().index, |_, _| false).map_err(told)?;
             }
         }
-        write.commit().map_err(told)
+        write.commit().map_err(told)?;
+        let took = begun.elapsed();
+        if took > SLOW_WRITE {
+            let took_ms = took.as_millis() as u64;
+            tracing::warn!(took_ms, "group: a write of the log was slow");
+        }
+        Ok(())
     }
 }
--- a/src/group/task.rs
+++ b/src/group/task.rs
@@ -33,6 +33,8 @@
 pub const EVIDENCE: &str = "oakdeal::evidence";
 /// Between two reports for the fleet's account, in microseconds.
 const REPORT: Micros = 1_000_000;
+/// A turn that comes later than it was due by so much is logged, in microseconds.
+const LATE_TURN: Micros = 250_000;
 /// What operators see is so old at most, in microseconds.
 const SHOWN: Micros = 100_000;
 /// A clock that runs at another rate, for the rig that tests drift: it is read from here, and from nowhere else.
@@ -174,6 +176,7 @@
         let operations = Operations::new(broker.clone());
         let mut buffer = [0; 2 * LONGEST];
         let (mut unsealed, mut shown, mut counted, mut told) = (0u64, 0, 0, 0);
+        let mut turned = self.clock.now();
         loop {
             tokio::select! {
                 biased;
@@ -215,6 +218,11 @@
                 () = tokio::time::sleep(TURN) => {}
             }
             let now = self.clock.now();
+            let since_last_turn_us = now.saturating_sub(turned);
+            if since_last_turn_us > LATE_TURN {
+                tracing::warn!(since_last_turn_us, "group: a turn came late");
+            }
+            turned = now;
             self.member.drains(now, !operations.ready());
             if now >= counted + REPORT {
                 counted = now;
