Have a voter ask the leader that it knows, and take in its own answers

Callers saw plans that came up to 7 s late, and zones filled to 120% while each balancer judged alone: no renewal had been decided for longer than a plan is valid. Ruled out by new log lines: slow storage, late turns, a change of leader, lost datagrams. Cause: src/group/member.rs sent a voter's requests to the voters in turn, itself among them; the answer to itself had no address and was dropped, the request stayed open, and the next one was sent astray for it. In the log: 'a plan is proposed ... to="n2"' by n2 five times in a row. Mend: a voter asks the leader that its log names; an answer to itself does not go by the net. It holds because only the leader can change the record and a voter knows it, or that there is none. Requests, their answers, proposals and changes of leader are logged.

--- a/src/group/duties.rs
+++ b/src/group/duties.rs
@@ -12,6 +12,8 @@
 use crate::failover::plan;
 use crate::failover::TASK as FAILOVER;
 
+/// The target of the log line for each plan that is proposed.
+const PROPOSALS: &str = "oakdeal::proposals";
 /// Rows in one report.
 const ROWS: usize = 32;
 
@@ -79,6 +81,8 @@
         let Some(token) = acts else { return planner.rest() };
         let (put, over) = planner.turn(now, old.as_ref(), &orders);
         if let Some(plan) = put {
+            let (serial, renewed) = (plan.serial, plan.renewed);
+            tracing::debug!(target: PROPOSALS, serial, renewed, to = self.asks(), "a plan is proposed");
             if old.as_ref().is_none_or(|old| old.serial != plan.serial) {
                 self.events.push(Event::Planned(plan.clone()));
             }
--- a/src/group/member.rs
+++ b/src/group/member.rs
@@ -86,6 +86,8 @@
     /// Questions that are out.
     asked: BTreeMap<u64, Asked>,
     questions: u64,
+    /// Answers to questions of its own: there is no address of its own to send them to.
+    own_answers: Vec<Answer>,
     looked: Micros,
     /// When a later record was last asked for.
     wanted: Micros,
@@ -128,6 +130,7 @@
             ask: peers.me().started as usize,
             asked: BTreeMap::new(),
             questions: 0,
+            own_answers: Vec::new(),
             looked: now,
             wanted: 0,
             parts: Parts::default(),
@@ -215,12 +218,30 @@
             Wish::Later(version) if self.record().version > version => Reply::Record(self.record().clone()),
             Wish::Later(_) => Reply::Same,
         };
-        self.say(&from, &Words::Answer(Answer { id, what: reply }));
+        self.reply(&from, Answer { id, what: reply });
+    }
+
+    fn reply(&mut self, to: &str, answer: Answer) {
+        if to == self.peers.me().name {
+            self.own_answers.push(answer);
+        } else {
+            self.say(to, &Words::Answer(answer));
+        }
+    }
+
+    fn take_own_answers(&mut self, now: Micros) {
+        for answer in std::mem::take(&mut self.own_answers) {
+            self.answer(now, answer);
+        }
     }
 
     fn answer(&mut self, now: Micros, answer: Answer) {
         let asked = self.asked.remove(&answer.id);
+        tracing::trace!(id = answer.id, "group: is answered");
         match answer.what {
+            Reply::Outcome(Outcome::Stale) if asked.is_none() => {
+                tracing::debug!("group: a proposal was based on an older record, or its lease is over");
+            }
             Reply::Outcome(outcome) => match asked {
                 Some(Asked::Lease(task, id)) => {
                     self.holders.entry(task).and_modify(|holder| holder.answer(now, id, &outcome));
@@ -229,6 +250,7 @@
                 _ => {}
             },
             Reply::Elsewhere(leader) => {
+                tracing::debug!(leader, "group: a question went to a voter that does not lead");
                 let known = leader.and_then(|name| self.voters.iter().position(|voter| *voter == name));
                 self.ask = known.unwrap_or(self.ask + 1);
             }
@@ -264,13 +286,22 @@
         self.out.extend(parts.into_iter().flatten().map(|part| (at, part.write())));
     }
 
+    /// Who is asked for a change. A voter knows who leads; only the leader can change the record, so a voter that asks anyone else
+    /// loses the request. Others ask one voter after the other until one names the leader.
+    pub(super) fn asks(&self) -> Option<&str> {
+        if let Some(voter) = &self.voter {
+            let me = self.peers.me().name.as_str();
+            let leader = if voter.leads() { Some(me) } else { voter.leader().0 };
+            if leader.is_some() {
+                return leader;
+            }
+        }
+        self.voters.get(self.ask % self.voters.len().max(1)).map(String::as_str)
+    }
+
     pub(super) fn wish(&mut self, what: Wish, asked: Option<Asked>) {
-        // Itself, if it leads: the words go the same way.
-        let to = match &self.voter {
-            Some(voter) if voter.leads() => self.peers.me().name.clone(),
-            _ if self.voters.is_empty() => return,
-            _ => self.voters[self.ask % self.voters.len()].clone(),
-        };
+        // The words go the same way to itself.
+        let Some(to) = self.asks().map(String::from) else { return };
         self.ask_of(&to, what, asked);
     }
 
@@ -283,6 +314,7 @@
                 self.asked.pop_first();
             }
         }
+        tracing::trace!(id, to, ?what, "group: asks");
         let question = Question { id, from: from.clone(), what };
         match to == from {
             true => self.question(question),
@@ -297,6 +329,7 @@
         self.events.extend(notes.into_iter().map(Event::Peer));
         self.gossip();
         self.vote(now);
+        self.take_own_answers(now);
         for task in self.holders.keys().cloned().collect::<Vec<_>>() {
             self.task(now, &task);
         }
@@ -312,7 +345,6 @@
     }
 
     fn vote(&mut self, now: Micros) {
-        let me = self.peers.me().name.clone();
         if self.voter.as_ref().is_some_and(|voter| voter.replaced(&self.heard)) {
             self.voter = None;
             self.events.push(Event::Silenced("another has its place in the record".into()));
@@ -327,11 +359,7 @@
                             Said::Message { to, bytes } => self.say(&to, &Words::Voters(bytes)),
                             Said::Beacon { to, beacon } => self.say(&to, &Words::Beacon(beacon)),
                             Said::Answer { to, id, outcome } => {
-                                let answer = Answer { id, what: Reply::Outcome(outcome) };
-                                match to == me {
-                                    true => self.answer(now, answer),
-                                    false => self.say(&to, &Words::Answer(answer)),
-                                }
+                                self.reply(&to, Answer { id, what: Reply::Outcome(outcome) });
                             }
                         }
                     }
--- a/src/group/member_tests.rs
+++ b/src/group/member_tests.rs
@@ -112,6 +112,29 @@
     }
 }
 
+/// A voter that did not lead asked itself in every second or third request, and its answer to itself had no address: the request
+/// was lost, and the next one went astray for it. Plans came up to 7 s late, or ended because no renewal was decided: in the
+/// logs `a plan is proposed ... to="n2"` by n2 five times in a row, each request to itself without `is answered`.
+#[test]
+fn what_a_voter_proposes_is_decided_also_where_it_does_not_lead() {
+    let mut net = Net::new(5, 3);
+    net.run(10 * SECOND);
+    let mut proposed = net.all[0].record().ordered;
+    for round in 0..40 {
+        for i in 0..3 {
+            net.all[i].order("z", Some(crate::failover::plan::Wish::Hold), 1_000);
+            proposed += 1;
+            net.run(350_000);
+            assert_eq!(
+                net.all[i].record().ordered,
+                proposed,
+                "round {round}: n{i} asks {:?}",
+                net.all[i].asks()
+            );
+        }
+    }
+}
+
 /// Guards against a record or a report that is too long for a datagram, and against pages without a writer or with two.
 #[test]
 fn the_account_of_many_teams_is_written_by_one_and_goes_on_at_the_next() {
--- a/src/group/voter.rs
+++ b/src/group/voter.rs
@@ -153,6 +153,8 @@
     ticked: Micros,
     freed: Micros,
     applied: u64,
+    /// The leader's folder and the term when they were logged last.
+    known_leader: (u64, u64),
     said: Vec<Said>,
 }
 
@@ -227,6 +229,7 @@
             ticked: now,
             freed: now,
             applied,
+            known_leader: (0, 0),
             said: Vec::new(),
         })
     }
@@ -472,6 +475,12 @@
             self.apply(now, light.take_committed_entries())?;
             self.node.advance_apply();
         }
+        let leader = (self.node.raft.leader_id, self.node.raft.term);
+        if leader != self.known_leader {
+            self.known_leader = leader;
+            let (leader, term) = self.leader();
+            tracing::info!(leader, term, "group: leader");
+        }
         if self.node.raft.state != StateRole::Leader {
             self.watch = None;
             self.waits.clear();
