--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -93,6 +93,14 @@
     all.map(|fault| Struck { fault, who: Vec::new(), begun: false, over: false, us: 0 }).collect()
 }
 
+/// Writes the logs of all processes into the folder that `OAKDEAL_RIG_LOGS` names, if it names one.
+fn keep_logs(fleet: &Fleet, name: &str, seed: u64) -> Result<(), String> {
+    let Some(folder) = std::env::var_os("OAKDEAL_RIG_LOGS") else { return Ok(()) };
+    let lines: Vec<String> = fleet.lines(0).into_iter().map(|(i, line)| format!("n{i} {line}")).collect();
+    let file = Path::new(&folder).join(format!("{name}-{seed}.log"));
+    std::fs::write(&file, lines.join("\n")).map_err(|e| format!("{}: {e}", file.display()))
+}
+
 /// Plays a scenario; `record` is told each act.
 pub fn play(
     program: &Path,
@@ -109,7 +117,7 @@
     let grace = 6 * span + Duration::from_secs(8);
     wait(&fleet, 0, begun + grace);
     if let Some(watch) = &watch {
-        watch.settle(&fleet)?;
+        watch.settle(&fleet).or_else(|e| keep_logs(&fleet, name, seed).and(Err(e)))?;
     }
     let begun = Instant::now();
     let (mut healed, mut clients, mut looked) = (begun, (0, 0), Instant::now());
@@ -209,12 +217,8 @@
     if clients.0 != clients.1 {
         wrong.push(format!("{} of {} new clients were not served", clients.0 - clients.1, clients.0));
     }
-    if let Some(folder) =
-        std::env::var_os("OAKDEAL_RIG_LOGS").filter(|_| !wrong.is_empty() || scenario.zones.is_some())
-    {
-        let lines: Vec<String> = fleet.lines(0).into_iter().map(|(i, line)| format!("n{i} {line}")).collect();
-        let file = Path::new(&folder).join(format!("{name}-{seed}.log"));
-        std::fs::write(&file, lines.join("\n")).map_err(|e| format!("{}: {e}", file.display()))?;
+    if !wrong.is_empty() || scenario.zones.is_some() {
+        keep_logs(&fleet, name, seed)?;
     }
     let mut own: Vec<u64> = acts.iter().filter(|act| act.witness == act.holder).map(|act| act.us).collect();
     own.sort_unstable();
--- a/src/broker/core.rs
+++ b/src/broker/core.rs
@@ -272,21 +272,47 @@
         }
         let first = actions.len();
         self.brain.handle(now, event, actions);
-        for action in &actions[first..] {
-            if let (Action::Refuse { call, .. } | Action::Fail { call }, Some(zones)) =
-                (action, &mut self.zones)
-            {
-                self.books.get(call).iter().for_each(|book| zones.unserved(now, &book.known(call)));
-            }
-            match action {
-                Action::Send { call, host, .. } => self.occupy(call, *host),
-                Action::Refuse { call, .. } => self.release(now, call, End::TurnedAway),
-                Action::Fail { call } => self.release(now, call, End::Lost),
-                _ => {}
+        let mut n = first;
+        while n < actions.len() {
+            if self.beyond_lease(now, &actions[n]) {
+                // It was never sent: the module decides what else becomes of the request.
+                let unsent = actions.remove(n);
+                self.take_back(now, unsent, actions);
+            } else {
+                self.book_action(now, &actions[n]);
+                n += 1;
             }
         }
     }
 
+    /// Whether an action would send more to a zone than this balancer's capacity lease allows.
+    fn beyond_lease(&mut self, now: Micros, action: &Action) -> bool {
+        match (action, &mut self.zones) {
+            (Action::Send { host, .. }, Some(zones)) => !zones.may_send(now, *host),
+            _ => false,
+        }
+    }
+
+    fn take_back(&mut self, now: Micros, unsent: Action, actions: &mut Vec<Action>) {
+        let Action::Send { call, host, .. } = unsent else { return };
+        let (outcome, elapsed) = (Outcome::Moot, 0);
+        let event = Event::Finished { call, attempt: 0, host, outcome, elapsed, ended: false };
+        self.brain.handle(now, event, actions);
+    }
+
+    fn book_action(&mut self, now: Micros, action: &Action) {
+        if let (Action::Refuse { call, .. } | Action::Fail { call }, Some(zones)) = (action, &mut self.zones)
+        {
+            self.books.get(call).iter().for_each(|book| zones.unserved(now, &book.known(call)));
+        }
+        match action {
+            Action::Send { call, host, .. } => self.occupy(call, *host),
+            Action::Refuse { call, .. } => self.release(now, call, End::TurnedAway),
+            Action::Fail { call } => self.release(now, call, End::Lost),
+            _ => {}
+        }
+    }
+
     /// An attempt takes up capacity of its server's zone from its send on.
     fn occupy(&mut self, call: &CallId, host: HostId) {
         let Some((book, zones)) = self.books.get_mut(call).zip(self.zones.as_mut()) else { return };
@@ -384,8 +410,8 @@
     /// What was seen of the zones here, and instances that are to be probed for it.
     pub fn digest(&mut self, now: Micros) -> Option<(Digest, Vec<HostId>)> {
         let zones = self.zones.as_mut()?;
-        let books = self.books.values().map(|book| (book.class, book.host, book.stands));
-        Some((zones.digest(now, books), zones.probes(now)))
+        let classes = self.books.values().map(|book| book.class);
+        Some((zones.digest(now, classes), zones.probes(now)))
     }
 
     /// In a group: whether it is this balancer's turn to move connections home.
@@ -502,3 +528,7 @@
 #[cfg(test)]
 #[path = "core_tests.rs"]
 mod tests;
+
+#[cfg(test)]
+#[path = "lease_tests.rs"]
+mod lease_tests;
--- /dev/null
+++ b/src/broker/lease_tests.rs
@@ -0,0 +1,131 @@
+//! Capacity leases at the send: what one balancer holds in a zone, attempts in flight included, never passes its limit.
+
+use super::super::zones::Place;
+use super::*;
+use crate::failover;
+use crate::failover::capacity::Grant;
+use crate::failover::plan::Zone;
+
+const S: Micros = 1_000_000;
+/// Hosts by zone.
+const HOSTS: [(HostId, usize); 4] = [(1, 0), (2, 0), (3, 1), (4, 1)];
+
+/// A balancer in zone a, whose plan has this share of its clients in zone b, and may hold so many connections in each.
+fn balancer(share_of_b: u32, second: bool, limits: [u32; 2]) -> Core {
+    let class = Class {
+        aim: S,
+        effect: Effect::Free,
+        guard: GuardGroup::All,
+        window: S,
+        message_aim: S,
+        deadline: 2 * S,
+        worth: 1.0,
+    };
+    let class_name = Some("watch".into());
+    let env = crate::wire::Env {
+        classes: Some(vec![crate::wire::EnvClass { name: class_name, ..Default::default() }]),
+        ..Default::default()
+    };
+    let (_, names) = env.translate().unwrap();
+    let settings = Settings { classes: vec![class], peers_total: 1, zones: 2, ..Settings::default() };
+    let mut core = Core::new(settings, &names, 1).unwrap();
+    let place = Place {
+        name: "n1".into(),
+        started: 1,
+        zone: "a".into(),
+        zones: vec!["a".into(), "b".into()],
+        classes: vec!["watch".into()],
+        balancers: 1,
+        ..Place::default()
+    };
+    core.zones(failover::Terms { over: 1, ..failover::Terms::default() }, place);
+    let entry = |(host, zone)| Entry { zone: Some(zone), ..Entry::ready(host) };
+    let hosts = HOSTS.map(entry).to_vec();
+    core.tell(S, Event::Members { kind: ListKind::Cached, hosts }, &mut Vec::new());
+    let shares = vec![("a".to_string(), 1_000 - share_of_b), ("b".to_string(), share_of_b)];
+    let then = second.then(|| "b".to_string());
+    let zone = Zone { shares: [("watch".to_string(), shares)].into(), then, part: 1_000, ..Zone::default() };
+    let grant = Grant { started: 1, limits: limits.to_vec(), reserved: limits.to_vec() };
+    let zones = [("a".to_string(), zone), ("b".to_string(), Zone::default())].into();
+    let plan = Plan { serial: 1, zones, grants: [("n1".to_string(), grant)].into(), ..Plan::default() };
+    core.follow(S, Some(&plan));
+    core.follow(S + 1, Some(&plan));
+    core
+}
+
+fn request(core: &mut Core, id: &str) -> Vec<Action> {
+    let mut demand = Demand::new(id, 0, 2 * S);
+    let mut actions = Vec::new();
+    if core.admit(S + 2, &mut demand, None).is_ok() {
+        core.tell(S + 2, Event::Demand(demand), &mut actions);
+    }
+    actions
+}
+
+fn sent(actions: &[Action]) -> Vec<(CallId, HostId)> {
+    let send = |action: &Action| match action {
+        Action::Send { call, host, .. } => Some((call.clone(), *host)),
+        _ => None,
+    };
+    actions.iter().filter_map(send).collect()
+}
+
+fn finished(call: &CallId, host: HostId, outcome: Outcome, ended: bool) -> Event {
+    Event::Finished { call: call.clone(), attempt: 0, host, outcome, elapsed: 1, ended }
+}
+
+#[test]
+fn attempts_in_flight_count_against_the_lease_until_they_are_over() {
+    let mut core = balancer(1_000, false, [0, 3]);
+    let all: Vec<_> = (0..10).flat_map(|n| sent(&request(&mut core, &format!("r{n}")))).collect();
+    assert_eq!(all.len(), 3, "{all:?}");
+    assert!(all.iter().all(|(_, host)| *host >= 3), "{all:?}");
+    // One that comes up goes on counting; one that has ended does not.
+    let mut actions = Vec::new();
+    core.tell(S + 3, Event::Opened { call: all[0].0.clone(), host: all[0].1, elapsed: 1 }, &mut actions);
+    assert_eq!(sent(&request(&mut core, "more")), []);
+    core.tell(S + 4, finished(&all[0].0, all[0].1, Outcome::Ok, true), &mut actions);
+    assert_eq!(sent(&request(&mut core, "again")).len(), 1);
+    assert_eq!(sent(&request(&mut core, "full")), []);
+}
+
+#[test]
+fn a_retry_in_a_second_zone_keeps_the_lease_too_and_each_request_has_one_final_answer() {
+    let mut core = balancer(0, true, [9, 2]);
+    let first: Vec<_> = (0..6).flat_map(|n| sent(&request(&mut core, &format!("r{n}")))).collect();
+    assert!(first.len() == 6 && first.iter().all(|(_, host)| *host <= 2), "{first:?}");
+    let mut open = first;
+    let (mut in_b, mut answers) = (Vec::new(), Vec::new());
+    while let Some((call, host)) = open.pop() {
+        let mut actions = Vec::new();
+        core.tell(S + 3, finished(&call, host, Outcome::ConnectFailed, false), &mut actions);
+        for action in &actions {
+            if let Action::Refuse { call, .. } | Action::Fail { call } = action {
+                answers.push(call.clone());
+            }
+        }
+        for (call, host) in sent(&actions) {
+            if host >= 3 {
+                in_b.push(call);
+            } else {
+                open.push((call, host));
+            }
+        }
+    }
+    assert_eq!((in_b.len(), answers.len()), (2, 4), "{in_b:?} {answers:?}");
+    assert!(answers.iter().all(|call| !in_b.contains(call)));
+}
+
+#[test]
+fn a_connection_counts_in_its_zone_also_where_its_server_has_left_the_list() {
+    let mut core = balancer(1_000, false, [0, 1]);
+    let (call, host) = sent(&request(&mut core, "first"))[0].clone();
+    let mut actions = Vec::new();
+    core.tell(S + 3, Event::Opened { call: call.clone(), host, elapsed: 1 }, &mut actions);
+    let others = HOSTS.into_iter().filter(|(other, _)| *other != host);
+    let hosts = others.map(|(host, zone)| Entry { zone: Some(zone), ..Entry::ready(host) }).collect();
+    core.tell(S + 4, Event::Members { kind: ListKind::Full, hosts }, &mut actions);
+    assert_eq!(sent(&request(&mut core, "second")), []);
+    core.tell(S + 5, finished(&call, host, Outcome::Reset, true), &mut actions);
+    assert_eq!(sent(&request(&mut core, "third")).len(), 1);
+}
--- a/src/broker/zones.rs
+++ b/src/broker/zones.rs
@@ -1,9 +1,9 @@
 //! Zones under the fleet's plan: where a command goes, what this balancer's sockets show of each zone, and who moves. It holds no
 //! opinion of its own: [`crate::failover`] decides, and the module places within the zone.
 
-use super::occupancy::{Occupancies, Slot};
+use super::occupancy::{Occupancies, Occupancy, Slot};
 use crate::api::*;
-use crate::failover::evidence::{Digest, Event as Note, Meter};
+use crate::failover::evidence::{Digest, Event as Note, Meter, Seen};
 use crate::failover::follow::{Choice, Follower};
 use crate::failover::plan::Plan;
 use crate::failover::Terms;
@@ -51,6 +51,8 @@
     looked: Micros,
     probes: usize,
     occupancies: Occupancies,
+    /// The plan that it said it follows.
+    announced: Option<u64>,
 }
 
 /// The target of the log line for each attempt that is sent to a zone.
@@ -86,11 +88,22 @@
 impl Zones {
     /// Those of a balancer that follows plans by these terms.
     pub fn new(terms: Terms, place: Place) -> Zones {
-        let follower = Follower::new(terms, &place.name, &place.zone);
+        let follower = Follower::new(terms, &place.name, place.started, &place.zone);
         let (meter, instances) = (Meter::default(), BTreeMap::new());
         let phase = xxh64(place.name.as_bytes(), 1) % 4_096;
         let occupancies = Occupancies::default();
-        Zones { place, follower, meter, instances, number: 0, phase, looked: 0, probes: 0, occupancies }
+        Zones {
+            place,
+            follower,
+            meter,
+            instances,
+            number: 0,
+            phase,
+            looked: 0,
+            probes: 0,
+            occupancies,
+            announced: None,
+        }
     }
 
     fn index(&self, zone: &str) -> Option<usize> {
@@ -116,10 +129,41 @@
 
     /// The record has this plan, or as before; whether another one is followed from now on.
     pub fn follow(&mut self, now: Micros, plan: Option<&Plan>) -> Option<Option<u64>> {
-        let was = self.follower.follows();
+        self.advance(now);
         plan.iter().for_each(|plan| self.follower.take(now, plan));
-        self.follower.turn(now);
-        Some(self.follower.follows()).filter(|is| *is != was)
+        self.advance(now);
+        let follows = self.follower.follows();
+        let was = std::mem::replace(&mut self.announced, follows);
+        Some(follows).filter(|follows| *follows != was)
+    }
+
+    /// A plan ends by the clock, also where nobody has looked at it for a while.
+    fn advance(&mut self, now: Micros) {
+        let (zones, occupancies) = (&self.place.zones, &self.occupancies);
+        let established = |name: &str| {
+            let zone = zones.iter().position(|zone| zone == name);
+            zone.map_or(0, |zone| occupancies.of(zone).established)
+        };
+        self.follower.turn(now, established);
+    }
+
+    /// Whether one more connection may go to a zone: what this balancer holds there stays within its capacity lease.
+    fn has_capacity(&self, zone: usize) -> bool {
+        let Some(name) = self.place.zones.get(zone) else { return true };
+        self.follower.limit(name).allows_beyond(self.occupancies.of(zone).total())
+    }
+
+    /// Whether an attempt may be sent to a server now. Asked at the send, since others may have been sent since it was placed.
+    pub fn may_send(&mut self, now: Micros, host: HostId) -> bool {
+        self.advance(now);
+        let Some(zone) = self.zone_of(host) else { return true };
+        let may = self.has_capacity(zone);
+        if !may {
+            let (plan, zone) =
+                (self.follower.follows(), self.place.zones.get(zone).map_or("", String::as_str));
+            tracing::debug!(target: ADMISSIONS, plan, zone, "not sent: the capacity lease is used up");
+        }
+        may
     }
 
     /// The zones that a command goes to; none: as without a plan. An error: nobody can carry it, and when to come again.
@@ -128,22 +172,35 @@
         now: Micros,
         known: &Known,
     ) -> Result<Option<(usize, Option<usize>)>, Option<Micros>> {
+        self.advance(now);
         let class = self.place.classes.get(known.class).map_or("", String::as_str);
-        match self.follower.choice(known.key(), class) {
+        match self.follower.choice(now, known.key(), class) {
             Choice::Own => Ok(None),
-            // Nobody is sent where this balancer's own list has named nothing.
             Choice::To(zone, then) => {
-                let zone = self.index(&zone).filter(|&zone| self.ready(zone).next().is_some());
-                Ok(zone.map(|zone| (zone, then.and_then(|then| self.index(&then)))))
-            }
-            Choice::Refuse => {
-                self.meter.served(now, known.class, known.client(), false);
-                let after = AFTER + xxh64(known.call.0.as_bytes(), now) % AFTER;
-                Err(self.place.longest.map(|longest| after.min(longest)))
+                // Nobody is sent where this balancer's own list has named nothing.
+                let Some(zone) = self.index(&zone).filter(|&zone| self.ready(zone).next().is_some()) else {
+                    return Ok(None);
+                };
+                let then = then.and_then(|then| self.index(&then)).filter(|&then| self.has_capacity(then));
+                match (self.has_capacity(zone), then) {
+                    (true, then) => Ok(Some((zone, then))),
+                    (false, Some(then)) => Ok(Some((then, None))),
+                    (false, None) => Err(self.refuse(now, known)),
+                }
             }
+            Choice::Refuse => Err(self.refuse(now, known)),
         }
     }
 
+    /// Nobody can carry it: when to come again.
+    fn refuse(&mut self, now: Micros, known: &Known) -> Option<Micros> {
+        let plan = self.follower.follows();
+        tracing::debug!(target: ADMISSIONS, plan, call = &*known.call.0, "refused: no zone has capacity for it");
+        self.meter.served(now, known.class, known.client(), false);
+        let after = AFTER + xxh64(known.call.0.as_bytes(), now) % AFTER;
+        self.place.longest.map(|longest| after.min(longest))
+    }
+
     /// An attempt is sent to a server: the capacity that it takes up until it is over.
     pub fn send(&mut self, call: &CallId, host: HostId) -> Option<Slot> {
         let zone = self.zone_of(host)?;
@@ -223,15 +280,11 @@
         zones.filter(due).filter_map(one).collect()
     }
 
-    /// What is told of what was seen here; `books`: class and instance of whoever is in hand, and whether it stands.
-    pub fn digest(&mut self, now: Micros, books: impl Iterator<Item = (usize, HostId, bool)>) -> Digest {
-        let (mut stands, mut wants) = (BTreeMap::<usize, u32>::new(), BTreeMap::<usize, u32>::new());
-        for (class, host, stood) in books {
-            *wants.entry(class).or_default() += 1;
-            if let Some(zone) = self.zone_of(host).filter(|_| stood) {
-                *stands.entry(zone).or_default() += 1;
-            }
-        }
+    /// What is told of what was seen here; `classes`: that of each request in hand.
+    pub fn digest(&mut self, now: Micros, classes: impl Iterator<Item = usize>) -> Digest {
+        self.advance(now);
+        let mut wants = BTreeMap::<usize, u32>::new();
+        classes.for_each(|class| *wants.entry(class).or_default() += 1);
         self.number += 1;
         let (cold, span) = self.place.cold;
         let warmth = |e: &Entry| match now.saturating_sub(e.ready_at) {
@@ -242,8 +295,8 @@
         let zones: Vec<String> = self.place.zones.iter().take(crate::failover::ZONES).cloned().collect();
         let seen = zones.into_iter().enumerate().map(|(zone, name)| {
             let room = self.ready(zone).map(|e| e.weight * warmth(e) * carries).sum::<f64>() as u32;
-            let stands = stands.get(&zone).copied().unwrap_or_default();
-            (name, crate::failover::evidence::Seen { stands, room, ..self.meter.seen(now, zone) })
+            let Occupancy { established: stands, in_flight } = self.occupancies.of(zone);
+            (name, Seen { stands, in_flight, room, ..self.meter.seen(now, zone) })
         });
         let zones = seen.collect();
         let classes: Vec<String> =
@@ -257,6 +310,7 @@
             number: self.number,
             zone: self.place.zone.clone(),
             follows: self.follower.follows(),
+            renewal: self.follower.renewal(),
             zones,
             wants: wanted.collect(),
         }
@@ -276,7 +330,7 @@
             let at =
                 self.instances.get(host).and_then(|e| e.zone).and_then(|zone| self.place.zones.get(zone));
             let class = self.place.classes.get(known.class).map_or("", String::as_str);
-            match (at, self.follower.choice(known.key(), class)) {
+            match (at, self.follower.choice(now, known.key(), class)) {
                 (Some(at), Choice::To(zone, _)) => zone != *at,
                 _ => false,
             }
--- a/src/failover/evidence.rs
+++ b/src/failover/evidence.rs
@@ -27,11 +27,18 @@
     pub setup: u32,
     /// What stands there from here.
     pub stands: u32,
+    /// Attempts that were sent there and are neither up nor over.
+    pub in_flight: u32,
     /// What the zone's servers carry together as they are now, by this balancer's list.
     pub room: u32,
 }
 
 impl Seen {
+    /// All that takes up capacity.
+    pub fn held(&self) -> u32 {
+        self.stands.saturating_add(self.in_flight)
+    }
+
     /// Whether there is something to be looked at.
     pub fn wrong(&self) -> bool {
         self.failed + self.broken >= ENOUGH || self.probed.1 > 0
@@ -52,6 +59,8 @@
     pub zone: String,
     /// The plan that it follows; none: its own judgement.
     pub follows: Option<u64>,
+    /// Which renewal of that plan: the grants that bind it.
+    pub renewal: Option<u64>,
     /// By zone.
     pub zones: BTreeMap<String, Seen>,
     /// By class: what stands here, and who was not served lately.
@@ -213,9 +222,9 @@
     told.get(told.len() / 2).copied().map_or(0.0, f64::from)
 }
 
-/// What stands in a zone, from all who tell.
-pub fn stands(digests: &Digests, zone: &str) -> f64 {
-    digests.values().filter_map(|d| d.zones.get(zone)).map(|seen| f64::from(seen.stands)).sum()
+/// What is held in a zone, by all who tell.
+pub fn held(digests: &Digests, zone: &str) -> f64 {
+    digests.values().filter_map(|d| d.zones.get(zone)).map(|seen| f64::from(seen.held())).sum()
 }
 
 /// What clients that come through a zone's balancers want, by class.
@@ -233,12 +242,39 @@
         (name.into(), Digest { name: name.into(), zone: zone.into(), zones, ..Digest::default() })
     }
 
-    const UP: Seen =
-        Seen { up: 20, failed: 0, full: 0, broken: 0, probed: (3, 0), setup: 20, stands: 9, room: 100 };
-    const DOWN: Seen =
-        Seen { up: 0, failed: 9, full: 0, broken: 4, probed: (0, 3), setup: 0, stands: 0, room: 100 };
-    const LITTLE: Seen =
-        Seen { up: 0, failed: 1, full: 0, broken: 0, probed: (0, 0), setup: 0, stands: 0, room: 100 };
+    const UP: Seen = Seen {
+        up: 20,
+        failed: 0,
+        full: 0,
+        broken: 0,
+        probed: (3, 0),
+        setup: 20,
+        stands: 9,
+        in_flight: 0,
+        room: 100,
+    };
+    const DOWN: Seen = Seen {
+        up: 0,
+        failed: 9,
+        full: 0,
+        broken: 4,
+        probed: (0, 3),
+        setup: 0,
+        stands: 0,
+        in_flight: 0,
+        room: 100,
+    };
+    const LITTLE: Seen = Seen {
+        up: 0,
+        failed: 1,
+        full: 0,
+        broken: 0,
+        probed: (0, 0),
+        setup: 0,
+        stands: 0,
+        in_flight: 0,
+        room: 100,
+    };
 
     /// Guards against a zone that a minority condemns: of 60 balancers in three zones a fifth see little, one in each zone lies, and
     /// one in each is cut off itself.
--- a/src/failover/follow.rs
+++ b/src/failover/follow.rs
@@ -1,12 +1,14 @@
 //! One balancer's side: which zone a command goes to by the plan that it follows, and who of those that stand moves for it.
 //!
 //! Promised: the same client goes to the same zone under the same plan, at every balancer; from one plan to the next only as many
-//! change zone as the shares differ by. A plan that nobody renews ends by itself, and then this balancer judges alone, as
-//! without a plan.
+//! change zone as the shares differ by; in no zone this balancer holds more than its capacity lease in the plan that it follows
+//! ([`super::capacity`]), but for what stood before the lease became smaller. A plan that nobody renews ends by itself: then this
+//! balancer judges alone within its own zone, and sends nothing to another zone beyond what stands there.
 
 use super::plan::{Plan, State};
 use super::Terms;
 use crate::api::Micros;
+use std::collections::BTreeMap;
 use xxhash_rust::xxh64::xxh64;
 
 /// Where a command goes.
@@ -23,13 +25,39 @@
 /// From so many thousandths on shares are held to be whole: each is rounded down.
 const ROUNDED: u32 = 1_000 - super::ZONES as u32;
 
+/// How many connections a balancer may hold in a zone, attempts in flight included.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Limit {
+    /// Nobody said.
+    Unbounded,
+    /// So many at most.
+    AtMost(u32),
+}
+
+impl Limit {
+    /// Whether one more than these is allowed.
+    pub fn allows_beyond(self, held: u32) -> bool {
+        match self {
+            Limit::Unbounded => true,
+            Limit::AtMost(most) => held < most,
+        }
+    }
+}
+
 /// The follower.
 pub struct Follower {
     terms: Terms,
+    name: String,
+    /// When its process started.
+    started: u64,
     me: u64,
     zone: String,
     /// The one that it follows, and until when.
     plan: Option<(Plan, Micros)>,
+    /// The last one that was followed and has ended, and what stood in each zone then.
+    ended: Option<(Plan, BTreeMap<String, u32>)>,
+    /// When it was first asked to do anything.
+    begun: Option<Micros>,
     /// The next one, when it is changed to, and until when it counts.
     next: Option<(Plan, Micros, Micros)>,
     moved: Micros,
@@ -37,10 +65,22 @@
 }
 
 impl Follower {
-    /// That of a balancer in a zone.
-    pub fn new(terms: Terms, name: &str, zone: &str) -> Follower {
+    /// That of a balancer in a zone, whose process was started then.
+    pub fn new(terms: Terms, name: &str, started: u64, zone: &str) -> Follower {
         let me = xxh64(name.as_bytes(), 0);
-        Follower { terms, me, zone: zone.into(), plan: None, next: None, moved: 0, due: 0.0 }
+        Follower {
+            terms,
+            name: name.into(),
+            started,
+            me,
+            zone: zone.into(),
+            plan: None,
+            ended: None,
+            begun: None,
+            next: None,
+            moved: 0,
+            due: 0.0,
+        }
     }
 
     /// What it goes by.
@@ -50,7 +90,6 @@
 
     /// The record has this plan.
     pub fn take(&mut self, now: Micros, plan: &Plan) {
-        self.turn(now);
         let until = now + self.terms.valid;
         let age = |plan: &Plan| (plan.serial, plan.renewed);
         let known =
@@ -71,12 +110,16 @@
         }
     }
 
-    /// Changes to what it is time for.
-    pub fn turn(&mut self, now: Micros) {
+    /// Changes to what it is time for; `established`: what stands in a zone from here.
+    pub fn turn(&mut self, now: Micros, established: impl Fn(&str) -> u32) {
+        self.begun.get_or_insert(now);
         if let Some((plan, _, until)) = self.next.take_if(|next| now >= next.1) {
             self.plan = Some((plan, until));
         }
-        self.plan.take_if(|plan| now >= plan.1);
+        if let Some((plan, _)) = self.plan.take_if(|plan| now >= plan.1) {
+            let standing = plan.zones.keys().map(|zone| (zone.clone(), established(zone))).collect();
+            self.ended = Some((plan, standing));
+        }
     }
 
     /// The plan that it follows.
@@ -84,11 +127,52 @@
         self.plan.as_ref().map(|plan| plan.0.serial)
     }
 
+    /// Which renewal of the plan it follows: its grants are those in force here.
+    pub fn renewal(&self) -> Option<u64> {
+        self.plan.as_ref().map(|plan| plan.0.renewed)
+    }
+
+    /// How many connections this balancer may hold in a zone. Where no plan is valid any more nothing beyond what stood when the
+    /// last one ended goes to another zone: the others may have been granted the rest.
+    pub fn limit(&self, zone: &str) -> Limit {
+        let own = zone == self.zone;
+        match (&self.plan, &self.ended) {
+            (Some((plan, _)), _) if plan.grants.is_empty() => Limit::Unbounded,
+            (Some((plan, _)), _) => match plan.limit(&self.name, self.started, zone) {
+                Some(limit) => Limit::AtMost(limit),
+                // Whoever makes the plan has not heard of this balancer yet.
+                None if own => Limit::Unbounded,
+                None => Limit::AtMost(0),
+            },
+            (None, Some((_, standing))) if !own => {
+                Limit::AtMost(standing.get(zone).copied().unwrap_or_default())
+            }
+            (None, _) => Limit::Unbounded,
+        }
+    }
+
     /// Where a client of a class goes that is known by this.
-    pub fn choice(&self, key: &str, class: &str) -> Choice {
-        let Some(zone) = self.plan.as_ref().and_then(|plan| plan.0.zones.get(&self.zone)) else {
-            return Choice::Own;
-        };
+    pub fn choice(&self, now: Micros, key: &str, class: &str) -> Choice {
+        match (&self.plan, &self.ended) {
+            (Some((plan, _)), _) => self.choice_by(plan, key, class),
+            // The plan's other zone only where the own one fails, and within the limit.
+            (None, Some((plan, _))) => {
+                let then = match self.choice_by(plan, key, class) {
+                    Choice::To(zone, then) => Some(zone).filter(|zone| *zone != self.zone).or(then),
+                    Choice::Own | Choice::Refuse => None,
+                };
+                Choice::To(self.zone.clone(), then)
+            }
+            // One that has just started soon hears of the plan.
+            (None, None) if self.begun.is_none_or(|begun| now < begun + self.terms.valid) => {
+                Choice::To(self.zone.clone(), None)
+            }
+            (None, None) => Choice::Own,
+        }
+    }
+
+    fn choice_by(&self, plan: &Plan, key: &str, class: &str) -> Choice {
+        let Some(zone) = plan.zones.get(&self.zone) else { return Choice::Own };
         let Some(shares) = zone.shares.get(class) else { return Choice::Own };
         // Its place among all clients, the same at every balancer and under every plan.
         let place = (xxh64(key.as_bytes(), 0x7a6f_6e65) % 1_000) as u32;
@@ -123,91 +207,5 @@
 }
 
 #[cfg(test)]
-mod tests {
-    use super::super::plan::Zone;
-    use super::*;
-
-    fn plan(serial: u64, shares: &[(&str, f64)]) -> Plan {
-        let shares = shares.iter().map(|(zone, share)| (zone.to_string(), (*share * 1e3) as u32)).collect();
-        let zone = Zone { shares: [("c".to_string(), shares)].into(), ..Zone::default() };
-        Plan { serial, renewed: 0, zones: [("a".to_string(), zone)].into() }
-    }
-
-    fn counts(follower: &Follower) -> (usize, usize, usize) {
-        let all: Vec<Choice> = (0..10_000).map(|n| follower.choice(&format!("k{n}"), "c")).collect();
-        let to = |zone: &str| all.iter().filter(|c| matches!(c, Choice::To(z, _) if z == zone)).count();
-        (to("a"), to("b"), all.iter().filter(|c| **c == Choice::Refuse).count())
-    }
-
-    /// Guards against shares that are not kept, clients that change zone for nothing, a plan that is followed too early, at once by
-    /// all, or after nobody renews it.
-    #[test]
-    fn shares_are_kept_by_client_and_a_plan_ends_when_nobody_renews_it() {
-        let terms = Terms { over: 1_000_000, valid: 10_000_000, ..Terms::default() };
-        let mut f = Follower::new(terms.clone(), "n1", "a");
-        assert_eq!(f.choice("k", "c"), Choice::Own);
-        f.take(0, &plan(1, &[("a", 0.7), ("b", 0.2)]));
-        f.turn(1_000_000);
-        let (a, b, refused) = counts(&f);
-        assert!(
-            a.abs_diff(7_000) < 150 && b.abs_diff(2_000) < 150 && refused.abs_diff(1_000) < 150,
-            "{a} {b} {refused}"
-        );
-        let before: Vec<Choice> = (0..1_000).map(|n| f.choice(&format!("k{n}"), "c")).collect();
-        f.take(2_000_000, &plan(2, &[("a", 0.6), ("b", 0.3)]));
-        f.turn(3_000_000);
-        assert_eq!(f.follows(), Some(2));
-        let changed = (0..1_000).filter(|n| f.choice(&format!("k{n}"), "c") != before[*n]).count();
-        assert!((60..140).contains(&changed), "{changed} of 1,000 for a tenth");
-        // Heard again it does not count for longer; renewed it does.
-        f.take(9_000_000, &plan(2, &[("a", 0.6), ("b", 0.3)]));
-        f.turn(11_999_999);
-        assert_eq!(f.follows(), Some(2));
-        f.take(11_999_999, &Plan { renewed: 1, ..plan(2, &[("a", 0.6), ("b", 0.3)]) });
-        f.turn(21_999_000);
-        assert_eq!(f.follows(), Some(2));
-        f.turn(22_000_000);
-        assert_eq!((f.follows(), f.choice("k", "c")), (None, Choice::Own));
-        // Not all change at one moment.
-        let mut at: Vec<Micros> = Vec::new();
-        for n in 0..20 {
-            let mut f = Follower::new(terms.clone(), &format!("n{n}"), "a");
-            f.take(0, &plan(1, &[("a", 1.0)]));
-            at.push(
-                (0..11)
-                    .map(|n| n * 100_000)
-                    .find(|&now| {
-                        f.turn(now);
-                        f.follows().is_some()
-                    })
-                    .unwrap(),
-            );
-        }
-        at.sort_unstable();
-        at.dedup();
-        assert!(at.len() > 5, "{at:?}");
-    }
-
-    /// Guards against all of a zone that fails being tried at one that has room for a part of them.
-    #[test]
-    fn as_many_of_a_zones_clients_have_a_second_zone_as_find_room_there() {
-        let mut f = Follower::new(Terms::default(), "n1", "a");
-        let mut plan = plan(1, &[("a", 1.0)]);
-        let zone = plan.zones.get_mut("a").unwrap();
-        (zone.then, zone.part) = (Some("b".into()), 300);
-        f.take(0, &plan);
-        f.turn(1_000_000);
-        let second =
-            |n: &usize| matches!(f.choice(&format!("k{n}"), "c"), Choice::To(_, Some(then)) if then == "b");
-        let of = (0..10_000).filter(second).count();
-        assert!(of.abs_diff(3_000) < 150, "{of}");
-    }
-
-    /// Guards against a fleet that moves all connections at once.
-    #[test]
-    fn moves_keep_the_fleets_pace() {
-        let mut f = Follower::new(Terms { moves: 40.0, ..Terms::default() }, "n1", "a");
-        let moved: usize = (0..500u64).map(|n| f.moves(1_000_000 + n * 20_000, 1_000, 10)).sum();
-        assert!((36..=44).contains(&moved), "{moved} in ten seconds of 4 a second");
-    }
-}
+#[path = "follow_tests.rs"]
+mod tests;
--- /dev/null
+++ b/src/failover/follow_tests.rs
@@ -0,0 +1,140 @@
+//! Shares by client, the end of a plan, the pace of moves, and what a balancer may hold.
+
+use super::super::capacity::Grant;
+use super::super::plan::Zone;
+use super::*;
+
+fn plan(serial: u64, shares: &[(&str, f64)]) -> Plan {
+    let shares = shares.iter().map(|(zone, share)| (zone.to_string(), (*share * 1e3) as u32)).collect();
+    let zone = Zone { shares: [("c".to_string(), shares)].into(), ..Zone::default() };
+    let zones = [("a".to_string(), zone), ("b".to_string(), Zone::default())].into();
+    Plan { serial, zones, ..Plan::default() }
+}
+
+fn counts(follower: &Follower) -> (usize, usize, usize) {
+    let all: Vec<Choice> = (0..10_000).map(|n| follower.choice(0, &format!("k{n}"), "c")).collect();
+    let to = |zone: &str| all.iter().filter(|c| matches!(c, Choice::To(z, _) if z == zone)).count();
+    (to("a"), to("b"), all.iter().filter(|c| **c == Choice::Refuse).count())
+}
+
+/// Guards against shares that are not kept, clients that change zone for nothing, a plan that is followed too early, at once by
+/// all, or after nobody renews it.
+#[test]
+fn shares_are_kept_by_client_and_a_plan_ends_when_nobody_renews_it() {
+    let terms = Terms { over: 1_000_000, valid: 10_000_000, ..Terms::default() };
+    let mut f = Follower::new(terms.clone(), "n1", 1, "a");
+    assert_eq!(f.choice(0, "k", "c"), Choice::To("a".into(), None));
+    f.take(0, &plan(1, &[("a", 0.7), ("b", 0.2)]));
+    f.turn(1_000_000, |_| 0);
+    let (a, b, refused) = counts(&f);
+    assert!(
+        a.abs_diff(7_000) < 150 && b.abs_diff(2_000) < 150 && refused.abs_diff(1_000) < 150,
+        "{a} {b} {refused}"
+    );
+    let before: Vec<Choice> = (0..1_000).map(|n| f.choice(0, &format!("k{n}"), "c")).collect();
+    f.take(2_000_000, &plan(2, &[("a", 0.6), ("b", 0.3)]));
+    f.turn(3_000_000, |_| 0);
+    assert_eq!(f.follows(), Some(2));
+    let changed = (0..1_000).filter(|n| f.choice(0, &format!("k{n}"), "c") != before[*n]).count();
+    assert!((60..140).contains(&changed), "{changed} of 1,000 for a tenth");
+    // Heard again it does not count for longer; renewed it does.
+    f.take(9_000_000, &plan(2, &[("a", 0.6), ("b", 0.3)]));
+    f.turn(11_999_999, |_| 0);
+    assert_eq!(f.follows(), Some(2));
+    f.take(11_999_999, &Plan { renewed: 1, ..plan(2, &[("a", 0.6), ("b", 0.3)]) });
+    f.turn(21_999_000, |_| 0);
+    assert_eq!(f.follows(), Some(2));
+    f.turn(22_000_000, |_| 0);
+    assert_eq!(f.follows(), None);
+    let near =
+        |n: usize| matches!(f.choice(22_000_000, &format!("k{n}"), "c"), Choice::To(zone, _) if zone == "a");
+    assert!((0..1_000).all(near));
+    // Not all change at one moment.
+    let mut at: Vec<Micros> = Vec::new();
+    for n in 0..20 {
+        let mut f = Follower::new(terms.clone(), &format!("n{n}"), 1, "a");
+        f.take(0, &plan(1, &[("a", 1.0)]));
+        at.push(
+            (0..11)
+                .map(|n| n * 100_000)
+                .find(|&now| {
+                    f.turn(now, |_| 0);
+                    f.follows().is_some()
+                })
+                .unwrap(),
+        );
+    }
+    at.sort_unstable();
+    at.dedup();
+    assert!(at.len() > 5, "{at:?}");
+}
+
+/// Guards against all of a zone that fails being tried at one that has room for a part of them.
+#[test]
+fn as_many_of_a_zones_clients_have_a_second_zone_as_find_room_there() {
+    let mut f = Follower::new(Terms::default(), "n1", 1, "a");
+    let mut plan = plan(1, &[("a", 1.0)]);
+    let zone = plan.zones.get_mut("a").unwrap();
+    (zone.then, zone.part) = (Some("b".into()), 300);
+    f.take(0, &plan);
+    f.turn(1_000_000, |_| 0);
+    let second =
+        |n: &usize| matches!(f.choice(0, &format!("k{n}"), "c"), Choice::To(_, Some(then)) if then == "b");
+    let of = (0..10_000).filter(second).count();
+    assert!(of.abs_diff(3_000) < 150, "{of}");
+}
+
+/// Guards against a fleet that moves all connections at once.
+#[test]
+fn moves_keep_the_fleets_pace() {
+    let mut f = Follower::new(Terms { moves: 40.0, ..Terms::default() }, "n1", 1, "a");
+    let moved: usize = (0..500u64).map(|n| f.moves(1_000_000 + n * 20_000, 1_000, 10)).sum();
+    assert!((36..=44).contains(&moved), "{moved} in ten seconds of 4 a second");
+}
+
+fn granted(serial: u64, limits: &[u32]) -> Plan {
+    let grant = Grant { started: 1, limits: limits.to_vec(), reserved: limits.to_vec() };
+    Plan { grants: [("n1".to_string(), grant)].into(), ..plan(serial, &[("a", 0.5), ("b", 0.5)]) }
+}
+
+#[test]
+fn a_balancer_holds_what_its_plan_grants_it_and_after_the_plan_only_what_stood() {
+    let mut f = Follower::new(Terms { over: 1, valid: 10_000_000, ..Terms::default() }, "n1", 1, "a");
+    f.turn(0, |_| 0);
+    assert_eq!((f.limit("a"), f.limit("b")), (Limit::Unbounded, Limit::Unbounded));
+    f.take(0, &granted(1, &[4, 7]));
+    f.turn(1, |_| 0);
+    assert_eq!((f.limit("a"), f.limit("b"), f.renewal()), (Limit::AtMost(4), Limit::AtMost(7), Some(0)));
+    // A renewal may grant something else, and is in force at once.
+    f.take(2, &Plan { renewed: 1, ..granted(1, &[4, 6]) });
+    assert_eq!((f.limit("b"), f.renewal()), (Limit::AtMost(6), Some(1)));
+    f.turn(10_000_002, |zone| if zone == "b" { 3 } else { 9 });
+    assert_eq!((f.follows(), f.renewal()), (None, None));
+    assert_eq!((f.limit("a"), f.limit("b")), (Limit::Unbounded, Limit::AtMost(3)));
+    assert!(Limit::AtMost(3).allows_beyond(2) && !Limit::AtMost(3).allows_beyond(3));
+    // The next plan is followed as the first was.
+    f.take(10_000_003, &granted(2, &[1, 2]));
+    f.turn(10_000_004, |_| 0);
+    assert_eq!((f.limit("a"), f.limit("b")), (Limit::AtMost(1), Limit::AtMost(2)));
+}
+
+#[test]
+fn a_balancer_that_the_plan_does_not_name_serves_its_own_zone_only() {
+    let mut f = Follower::new(Terms { over: 1, ..Terms::default() }, "n2", 1, "a");
+    f.take(0, &granted(1, &[4, 7]));
+    f.turn(1, |_| 0);
+    assert_eq!((f.limit("a"), f.limit("b")), (Limit::Unbounded, Limit::AtMost(0)));
+    // Nor one whose name an earlier process had.
+    let mut f = Follower::new(Terms { over: 1, ..Terms::default() }, "n1", 2, "a");
+    f.take(0, &granted(1, &[4, 7]));
+    f.turn(1, |_| 0);
+    assert_eq!((f.limit("a"), f.limit("b")), (Limit::Unbounded, Limit::AtMost(0)));
+}
+
+#[test]
+fn a_balancer_without_any_plan_serves_its_own_zone_until_one_should_have_come() {
+    let mut f = Follower::new(Terms { valid: 10_000_000, ..Terms::default() }, "n1", 1, "a");
+    f.turn(5, |_| 0);
+    assert_eq!(f.choice(10_000_004, "k", "c"), Choice::To("a".into(), None));
+    assert_eq!(f.choice(10_000_005, "k", "c"), Choice::Own);
+}
--- a/src/failover/plan.rs
+++ b/src/failover/plan.rs
@@ -6,7 +6,8 @@
 //! when everybody who is heard follows the last, or when whoever is not heard follows none any more. The same input gives the
 //! same plan.
 
-use super::evidence::{room, stands, verdict, wants, Digest, Digests, Verdict};
+use super::capacity::{self, Grants, Holder, Report};
+use super::evidence::{held, room, verdict, wants, Digest, Digests, Verdict};
 use super::Terms;
 use crate::api::Micros;
 use serde::{Deserialize, Serialize};
@@ -69,9 +70,19 @@
     pub renewed: u64,
     /// By zone.
     pub zones: BTreeMap<String, Zone>,
+    /// How many connections each balancer may hold in each zone; none: an older program made the plan.
+    #[serde(skip_serializing_if = "Grants::is_empty")]
+    pub grants: Grants,
 }
 
 impl Plan {
+    /// How many connections the process of a balancer that was started then may hold in a zone; none where it is granted nothing.
+    pub fn limit(&self, balancer: &str, started: u64, zone: &str) -> Option<u32> {
+        let grant = self.grants.get(balancer).filter(|grant| grant.started == started)?;
+        let zone = self.zones.keys().position(|name| name == zone)?;
+        grant.limits.get(zone).copied()
+    }
+
     /// The share that goes from one zone to another.
     pub fn share(&self, from: &str, class: &str, to: &str) -> f64 {
         let shares = self.zones.get(from).and_then(|zone| zone.shares.get(class));
@@ -199,9 +210,11 @@
 const FIRST: f64 = 0.1;
 /// Closed again within so many stays, it stays closed for longer.
 const AGAIN: u64 = 8;
-/// A zone that holds more than its room is given so much less at each look, until it holds less than this part of it.
-const TRIM: f64 = 0.97;
-const FILLED: f64 = 0.9;
+/// What is reserved for a balancer that is not heard any more is kept for so many lifetimes of a plan: it may be cut off and hold
+/// it still, or it is gone.
+const RESERVED_LIFETIMES: u64 = 10;
+/// Where a balancer wants more than it is granted, grants are made anew as often as balancers tell, and no oftener than this.
+const REGRANT: Micros = 250_000;
 /// A plan is changed for a share that differs by so much.
 const BAND: f64 = 0.04;
 /// Of its room a zone keeps so much once it spills: it spills from the whole on, and until it has so much more than it needs.
@@ -256,9 +269,8 @@
     /// When it saw each order first, and how its zone was then.
     orders: BTreeMap<String, (u64, Micros, f64)>,
     spills: Vec<bool>,
-    /// Which part of its room each zone is given, so that it holds no more than that: clients come in other numbers than shares.
-    trims: Vec<f64>,
-    trimmed: Micros,
+    /// Who has a grant and is not heard, and since when.
+    silent: BTreeMap<String, Micros>,
     /// Since when it makes plans, and when the last one was put.
     begun: Option<Micros>,
     put: Micros,
@@ -270,9 +282,9 @@
         zones.sort();
         zones.truncate(super::ZONES);
         let (heard, ways, orders) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
-        let (spills, trims) = (vec![false; zones.len()], vec![1.0; zones.len()]);
+        let (spills, silent) = (vec![false; zones.len()], BTreeMap::new());
         let classes = classes.into_iter().take(super::CLASSES).collect();
-        Planner { terms, zones, classes, heard, ways, orders, spills, trims, trimmed: 0, begun: None, put: 0 }
+        Planner { terms, zones, classes, heard, ways, orders, spills, silent, begun: None, put: 0 }
     }
 
     /// A digest came, late, doubled or in order.
@@ -305,17 +317,18 @@
         }
         let digests: Digests = self.heard.iter().map(|(name, (_, d))| (name.clone(), d.clone())).collect();
         let over = self.orders(now, orders);
+        self.look_for_silent(now, &digests, record);
         let (question, whys) = self.question(now, &digests, orders, record);
-        let renewal = |plan: &Plan| Plan { renewed: plan.renewed + 1, ..plan.clone() };
-        let renewed = record.filter(|_| now >= self.put + terms.valid / 3).map(renewal);
+        let renewed = record.and_then(|plan| self.renewal(now, plan, &question, &digests));
         // Everybody who is heard follows the last plan, and whoever is not heard follows none: two at once are enough.
         let serial = record.map_or(0, |plan| plan.serial);
         let all = digests.values().all(|d| d.follows.is_none_or(|follows| follows == serial) || serial == 0);
         let settled = all && now >= self.put + terms.over || now >= self.put + terms.valid + terms.over;
-        let listened = now >= begun + 2 * terms.tell;
-        let next = Some(()).filter(|()| settled && listened && !digests.is_empty());
+        let next = Some(()).filter(|()| settled && self.listened(now, &digests));
         let next = next.map(|()| self.plan(&question, &whys, record));
         let changed = next.filter(|next| record.is_none_or(|old| differs(old, next)));
+        let changed =
+            changed.map(|next| Plan { grants: self.grants(&next, &question.room, &digests, record), ..next });
         let put = changed.or(renewed);
         if put.is_some() {
             self.put = now;
@@ -323,6 +336,105 @@
         (put, over)
     }
 
+    /// The same plan once more, with grants by what is known now, where it is time for that.
+    fn renewal(&self, now: Micros, plan: &Plan, question: &Question, digests: &Digests) -> Option<Plan> {
+        let due = now >= self.put + self.terms.valid / 3;
+        let may = now >= self.put + self.terms.tell.max(REGRANT);
+        if !due && !may {
+            return None;
+        }
+        // Whoever has just begun knows neither the zones' capacities nor who holds what.
+        let grants = match self.listened(now, digests) {
+            true => self.grants(plan, &question.room, digests, Some(plan)),
+            false => plan.grants.clone(),
+        };
+        let wanted = due || self.helps_somebody(plan, &grants, digests);
+        wanted.then(|| Plan { renewed: plan.renewed + 1, grants, ..plan.clone() })
+    }
+
+    /// Whether it has made plans for long enough to have heard everybody who can be heard.
+    fn listened(&self, now: Micros, digests: &Digests) -> bool {
+        self.begun.is_some_and(|begun| now >= begun + 2 * self.terms.tell) && !digests.is_empty()
+    }
+
+    /// Whether other grants would give more to a balancer whose clients are expected to want more than it is granted, or free what
+    /// it waits for.
+    fn helps_somebody(&self, plan: &Plan, grants: &Grants, digests: &Digests) -> bool {
+        let limit = |grants: &Grants, name: &String, zone: usize| -> u32 {
+            grants.get(name).and_then(|grant| grant.limits.get(zone)).copied().unwrap_or_default()
+        };
+        let reserved = |grants: &Grants, zone: usize| -> u32 {
+            grants.values().filter_map(|grant| grant.reserved.get(zone)).sum()
+        };
+        digests.iter().any(|(name, digest)| {
+            self.demand(plan, digest).iter().enumerate().any(|(zone, demand)| {
+                let (old, new) = (limit(&plan.grants, name, zone), limit(grants, name, zone));
+                let short = *demand >= f64::from(old) + 1.0;
+                short && (new > old || reserved(grants, zone) < reserved(&plan.grants, zone))
+            })
+        })
+    }
+
+    /// By zone: what a balancer's clients want there by a plan's shares.
+    fn demand(&self, plan: &Plan, digest: &Digest) -> Vec<f64> {
+        let of_class = |to: &String, class: &String| {
+            f64::from(digest.wants.get(class).copied().unwrap_or_default())
+                * plan.share(&digest.zone, class, to)
+        };
+        self.zones.iter().map(|to| self.classes.iter().map(|class| of_class(to, class)).sum()).collect()
+    }
+
+    /// The capacity leases that go with a plan's shares; `record`: the plan in force, with its own. `rooms`: capacities by zone.
+    fn grants(&self, plan: &Plan, rooms: &[f64], digests: &Digests, record: Option<&Plan>) -> Grants {
+        let known = |name: &String| record.and_then(|plan| plan.grants.get(name));
+        let mut holders = BTreeMap::new();
+        for (name, digest) in digests {
+            let demand = self.demand(plan, digest);
+            let own = plan.zones.get(&digest.zone);
+            let second = own.and_then(|zone| zone.then.as_ref());
+            let part = own.map_or(0.0, |zone| f64::from(zone.part) / 1e3);
+            let home = self.zones.iter().position(|zone| *zone == digest.zone);
+            let at_home = home.map_or(0.0, |home| demand[home]);
+            let overflow = self.zones.iter().map(|to| if second == Some(to) { part * at_home } else { 0.0 });
+            let used = self.zones.iter().map(|zone| digest.zones.get(zone).map_or(0, |seen| seen.held()));
+            let used: Vec<u32> = used.collect();
+            let acknowledges = record.is_some_and(|plan| {
+                digest.follows == Some(plan.serial) && digest.renewal == Some(plan.renewed)
+            });
+            let report = Report { started: digest.started, acknowledges, used: &used };
+            let holder = Holder {
+                started: known(name).map_or(0, |grant| grant.started).max(digest.started),
+                overflow: overflow.collect(),
+                zone: home.unwrap_or(usize::MAX),
+                held: capacity::held(known(name), &report),
+                demand,
+            };
+            holders.insert(name.clone(), holder);
+        }
+        // Of whoever is not heard all stays as it is.
+        for name in self.silent.keys() {
+            let Some(grant) = known(name) else { continue };
+            let demand = grant.limits.iter().map(|limit| f64::from(*limit)).collect();
+            let (started, held) = (grant.started, grant.reserved.clone());
+            let holder = Holder { started, demand, held, zone: usize::MAX, ..Holder::default() };
+            holders.insert(name.clone(), holder);
+        }
+        let capacities: Vec<u32> = rooms.iter().map(|room| room.floor() as u32).collect();
+        capacity::allot(&capacities, &holders)
+    }
+
+    /// Keeps in mind who has a grant and is not heard, for as long as it may still hold what it was granted.
+    fn look_for_silent(&mut self, now: Micros, digests: &Digests, record: Option<&Plan>) {
+        let granted = record.into_iter().flat_map(|plan| plan.grants.keys());
+        let silent: Vec<String> = granted.filter(|name| !digests.contains_key(*name)).cloned().collect();
+        self.silent.retain(|name, _| silent.contains(name));
+        for name in silent {
+            self.silent.entry(name).or_insert(now);
+        }
+        let kept = RESERVED_LIFETIMES * self.terms.valid;
+        self.silent.retain(|_, since| now < *since + kept);
+    }
+
     /// Ways that the plan has closed are closed here too: another made it.
     fn resume(&mut self, now: Micros, record: Option<&Plan>) {
         let Some(plan) = record else { return };
@@ -412,26 +524,13 @@
         }
         let ask = |zone: &String| self.classes.iter().map(|class| wants(digests, zone, class)).collect();
         let all: Vec<Vec<f64>> = self.zones.iter().map(ask).collect();
-        let mut rooms: Vec<f64> = self.zones.iter().map(|zone| terms.fill * room(digests, zone)).collect();
-        let look = now >= self.trimmed + terms.tell.max(250_000);
-        let stands: Vec<f64> = self.zones.iter().map(|zone| stands(digests, zone)).collect();
-        for (z, room) in rooms.iter_mut().enumerate() {
-            let held = stands[z];
-            if look {
-                let step = if held > *room {
-                    TRIM
-                } else if held < FILLED * *room {
-                    1.0 / TRIM
-                } else {
-                    1.0
-                };
-                self.trims[z] = (self.trims[z] * step).clamp(0.5, 1.0);
-            }
-            *room *= self.trims[z];
-        }
-        if look {
-            self.trimmed = now;
-        }
+        let rooms: Vec<f64> = self.zones.iter().map(|zone| terms.fill * room(digests, zone)).collect();
+        let reserved = |zone: usize| {
+            let grants = self.silent.keys().filter_map(|name| record?.grants.get(name));
+            grants.filter_map(|grant| grant.reserved.get(zone)).map(|n| f64::from(*n)).sum::<f64>()
+        };
+        let stands: Vec<f64> =
+            self.zones.iter().enumerate().map(|(z, zone)| held(digests, zone) + reserved(z)).collect();
         let before = record.map_or(Vec::new(), |plan| {
             let amount = |f: usize, c: usize, t: usize| {
                 all[f][c] * plan.share(&self.zones[f], &self.classes[c], &self.zones[t])
@@ -517,7 +616,7 @@
             let then = then[f].map(|t| q.zones[t].clone());
             zones.insert(q.zones[f].clone(), Zone { state, why, since, room, shares, then, part });
         }
-        Plan { serial, renewed: 0, zones }
+        Plan { serial, renewed: 0, zones, grants: Grants::new() }
     }
 
     /// Who is heard, and which plan each follows.
--- a/src/failover/plan_tests.rs
+++ b/src/failover/plan_tests.rs
@@ -197,12 +197,14 @@
                     let wants = [("payout".to_string(), want / 4), ("watch".to_string(), want)].into();
                     self.number += 1;
                     let follows = self.plan.as_ref().map(|plan| plan.serial);
+                    let renewal = self.plan.as_ref().map(|plan| plan.renewed);
                     let digest = Digest {
                         name: format!("n{n}"),
                         started: 1,
                         number: self.number,
                         zone: zone.into(),
                         follows,
+                        renewal,
                         zones,
                         wants,
                     };
@@ -364,3 +366,16 @@
     fleet.run(10, |_, to, _| to != "b", 18);
     assert_eq!((fleet.state("b"), fleet.states.len()), (State::Away, changes));
 }
+
+/// A planner that had just begun renewed the plan before it had heard anybody: it took every capacity for 0, and all clients were
+/// turned away for half a second (`zone-severed`, seed 8: `limits: [0, 0, 0]` for all nine balancers).
+#[test]
+fn another_planner_leaves_the_grants_as_they_are_until_it_has_listened() {
+    let mut fleet = Fleet::new();
+    fleet.run(10, |_, _, _| true, 18);
+    let before = fleet.plan.clone().unwrap();
+    assert!(before.grants.values().all(|grant| grant.limits.iter().sum::<u32>() >= 22), "{before:?}");
+    fleet.planner = Fleet::new().planner;
+    let (renewed, _) = fleet.planner.turn(fleet.now, Some(&before), &fleet.orders);
+    assert_eq!(renewed, Some(Plan { renewed: before.renewed + 1, ..before }));
+}
