Do not follow a plan again that has ended and was not renewed

Cause: src/failover/follow.rs took the age of a known plan from the one that it follows or is about to follow; after the end there was none, and the record offers the same plan at each turn. Mend: the age of the ended plan counts too; a renewal is newer and is followed.

--- a/src/failover/follow.rs
+++ b/src/failover/follow.rs
@@ -92,8 +92,11 @@
     pub fn take(&mut self, now: Micros, plan: &Plan) {
         let until = now + self.terms.valid;
         let age = |plan: &Plan| (plan.serial, plan.renewed);
-        let known =
-            self.next.as_ref().map(|next| age(&next.0)).or(self.plan.as_ref().map(|known| age(&known.0)));
+        let next = self.next.as_ref().map(|next| &next.0);
+        let followed = self.plan.as_ref().map(|plan| &plan.0);
+        // The record keeps a plan that nobody renews: one that has ended is known as well.
+        let ended = self.ended.as_ref().map(|ended| &ended.0);
+        let known = next.or(followed).or(ended).map(age);
         // What was heard before does not count for longer because it is heard again.
         if known.is_some_and(|known| age(plan) <= known) {
             return;
--- a/src/failover/follow_tests.rs
+++ b/src/failover/follow_tests.rs
@@ -138,3 +138,23 @@
     assert_eq!(f.choice(10_000_004, "k", "c"), Choice::To("a".into(), None));
     assert_eq!(f.choice(10_000_005, "k", "c"), Choice::Own);
 }
+
+/// The record keeps a plan also when nobody renews it, and every turn takes it from there. A plan that had ended was taken for new
+/// at the next turn, and followed for its whole lifetime once more, again and again: `no plan is valid any more` and 50 ms later
+/// `another plan is followed serial=1` every 3 s, at three balancers that were cut off from the group.
+#[test]
+fn a_plan_that_has_ended_is_not_followed_again_until_it_is_renewed() {
+    let mut f = Follower::new(Terms { over: 1, valid: 10_000_000, ..Terms::default() }, "n1", 1, "a");
+    let mut turn = |now: Micros, plan: &Plan| {
+        f.take(now, plan);
+        f.turn(now, |_| 0);
+        f.follows()
+    };
+    let plan = granted(1, &[4, 7]);
+    assert_eq!(turn(0, &plan), Some(1));
+    for now in (10_000_001..40_000_000).step_by(50_000) {
+        assert_eq!(turn(now, &plan), None, "at {now}");
+    }
+    let renewed = Plan { renewed: 1, ..plan };
+    assert_eq!(turn(40_000_000, &renewed), Some(1));
+}
