Count requests and not probes as what a zone of the rig holds

The rig counted every connection over its relays, the balancers' probes among them: one sample of region-dead showed 51 of 48 as 'a: 15, b: 9 + 2, c: 27 + 2', 27 by the balancers of a zone that has 24 clients, while all nine balancers together held 44 by their own counts. A probe asks a server only whether it is there; it takes no capacity, and lasts for milliseconds. Change: a connection counts from its first bytes on unless they are a probe's; bound and scenario are as they were.

--- a/lab/src/fleet/wire.rs
+++ b/lab/src/fleet/wire.rs
@@ -7,6 +7,9 @@
 use std::thread;
 use std::time::Duration;
 
+/// How a probe begins; a server answers it and takes no request on that connection.
+const PROBE: &[u8] = b"PING";
+
 /// One link.
 #[derive(Default)]
 pub struct Wire {
@@ -16,7 +19,7 @@
     pub broken: AtomicBool,
     /// Each piece is late by so many milliseconds.
     pub late: AtomicU64,
-    /// How many connections stand over it.
+    /// How many requests have a connection over it: probes, which ask a server only whether it is there, are none.
     pub open: AtomicU64,
 }
 
@@ -46,13 +49,25 @@
     let Ok(far) = TcpStream::connect(to) else { return };
     let (Ok(near2), Ok(far2)) = (near.try_clone(), far.try_clone()) else { return };
     let (wire2, over2) = (wire.clone(), over.clone());
-    wire.open.fetch_add(1, Relaxed);
-    thread::spawn(move || copy(far2, near2, &wire2, &over2));
-    copy(near, far, wire, over);
-    wire.open.fetch_sub(1, Relaxed);
+    thread::spawn(move || copy(far2, near2, &wire2, &over2, |_| {}));
+    let mut first_bytes = true;
+    let mut requests = 0;
+    copy(near, far, wire, over, |bytes| {
+        if std::mem::take(&mut first_bytes) && !bytes.starts_with(PROBE) {
+            requests = 1;
+            wire.open.fetch_add(requests, Relaxed);
+        }
+    });
+    wire.open.fetch_sub(requests, Relaxed);
 }
 
-fn copy(mut from: TcpStream, mut to: TcpStream, wire: &Wire, over: &AtomicBool) {
+fn copy(
+    mut from: TcpStream,
+    mut to: TcpStream,
+    wire: &Wire,
+    over: &AtomicBool,
+    mut passes: impl FnMut(&[u8]),
+) {
     let _ = from.set_read_timeout(Some(Duration::from_millis(20)));
     let _ = to.set_nodelay(true);
     let mut buffer = [0; 8192];
@@ -64,6 +79,7 @@
         match from.read(&mut buffer) {
             Ok(0) => break,
             Ok(n) => {
+                passes(&buffer[..n]);
                 thread::sleep(Duration::from_millis(wire.late.load(Relaxed)));
                 while wire.cut.load(Relaxed) && !over.load(Relaxed) {
                     thread::sleep(Duration::from_millis(10));
