Give a voter's storage a thread of its own

Clients of a balancer that votes waited for its disk: with 300 ms a write 10 of 40 lines came 150 to 645 ms late. Cause: Voter::settle synced its log on the only thread of the program, once a turn. Mend: src/group/writer.rs writes on a thread, all that waits as one write; the voter goes on with what a write promises only when it is kept (raft's advance_append_async and on_persist_ready, Voter::take_kept). Tests: a_voter_with_a_slow_disk_serves_its_clients_as_ever (seen to fail), a_voter_whose_storage_keeps_nothing_promises_nothing (seen to fail with a promise sent early), two holders over storage that is late and loses.

--- a/src/group/folder.rs
+++ b/src/group/folder.rs
@@ -7,7 +7,7 @@
 use super::record::State;
 use protobuf::Message as _;
 use raft::eraftpb::{Entry, HardState, Snapshot};
-use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition};
+use redb::{Database, ReadableDatabase, ReadableTable, TableDefinition, WriteTransaction};
 use std::path::Path;
 use std::time::{Duration, Instant};
 
@@ -15,6 +15,8 @@
 const META: TableDefinition<&str, &[u8]> = TableDefinition::new("meta");
 /// The file in the folder.
 const FILE: &str = "voter.redb";
+/// Milliseconds by which each write is late, for the rig that tests slow disks: read from here, and from nowhere else.
+const RIG: &str = "OAKDEAL_RIG_WRITE_DELAY_MS";
 /// A write that takes longer than this is logged.
 const SLOW_WRITE: Duration = Duration::from_millis(100);
 
@@ -74,8 +76,18 @@
 
 /// A place that keeps things.
 pub trait Keep {
-    /// Keeps all of it, or nothing.
+    /// Keeps all of it, or nothing; or begins to, in the order of the calls.
     fn save(&mut self, save: Save) -> Result<(), String>;
+
+    /// Keeps all of these, in their order, or nothing: one sync for all.
+    fn save_all(&mut self, saves: &[Save]) -> Result<(), String> {
+        saves.iter().try_for_each(|save| self.save(*save))
+    }
+
+    /// How many of so many calls of `save` are kept by now.
+    fn kept(&mut self, saved: u64) -> Result<u64, String> {
+        Ok(saved)
+    }
 }
 
 /// One on disk.
@@ -159,38 +171,50 @@
     }
 }
 
+impl Folder {
+    fn put(write: &WriteTransaction, save: &Save) -> Result<(), String> {
+        let Save { entries, hard, snapshot, anew } = save;
+        let mut meta = write.open_table(META).map_err(told)?;
+        if let Some(hard) = hard {
+            meta.insert("hard", &*hard.write_to_bytes().map_err(told)?).map_err(told)?;
+        }
+        if let Some(snapshot) = snapshot {
+            meta.insert("snapshot", &*snapshot.write_to_bytes().map_err(told)?).map_err(told)?;
+        }
+        let mut log = write.open_table(LOG).map_err(told)?;
+        if *anew {
+            log.retain(|_, _| false).map_err(told)?;
+        }
+        if let Some(entry) = entries.first() {
+            log.retain_in(entry.index.., |_, _| false).map_err(told)?;
+        }
+        for entry in *entries {
+            log.insert(entry.index, &*entry.write_to_bytes().map_err(told)?).map_err(told)?;
+        }
+        if let Some(snapshot) = snapshot {
+            log.retain_in(..=snapshot.get_metadata().index, |_, _| false).map_err(told)?;
+        }
+        Ok(())
+    }
+}
+
 impl Keep for Folder {
     fn save(&mut self, save: Save) -> Result<(), String> {
+        self.save_all(&[save])
+    }
+
+    fn save_all(&mut self, saves: &[Save]) -> Result<(), String> {
         let begun = Instant::now();
-        let Save { entries, hard, snapshot, anew } = save;
-        let write = self.0.begin_write().map_err(told)?;
-        {
-            let mut meta = write.open_table(META).map_err(told)?;
-            if let Some(hard) = hard {
-                meta.insert("hard", &*hard.write_to_bytes().map_err(told)?).map_err(told)?;
-            }
-            if let Some(snapshot) = snapshot {
-                meta.insert("snapshot", &*snapshot.write_to_bytes().map_err(told)?).map_err(told)?;
-            }
-            let mut log = write.open_table(LOG).map_err(told)?;
-            if anew {
-                log.retain(|_, _| false).map_err(told)?;
-            }
-            if let Some(entry) = entries.first() {
-                log.retain_in(entry.index.., |_, _| false).map_err(told)?;
-            }
-            for entry in entries {
-                log.insert(entry.index, &*entry.write_to_bytes().map_err(told)?).map_err(told)?;
-            }
-            if let Some(snapshot) = snapshot {
-                log.retain_in(..=snapshot.get_metadata().index, |_, _| false).map_err(told)?;
-            }
+        if let Some(delay) = std::env::var(RIG).ok().and_then(|ms| ms.parse().ok()) {
+            std::thread::sleep(Duration::from_millis(delay));
         }
+        let write = self.0.begin_write().map_err(told)?;
+        saves.iter().try_for_each(|save| Folder::put(&write, save))?;
         write.commit().map_err(told)?;
         let took = begun.elapsed();
         if took > SLOW_WRITE {
-            let took_ms = took.as_millis() as u64;
-            tracing::warn!(took_ms, "group: a write of the log was slow");
+            let (took_ms, saves) = (took.as_millis() as u64, saves.len());
+            tracing::warn!(took_ms, saves, "group: a write of the log was slow");
         }
         Ok(())
     }
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -14,6 +14,7 @@
 pub mod task;
 pub mod voter;
 pub mod words;
+pub mod writer;
 
 use crate::api::Micros;
 use std::collections::BTreeMap;
--- a/src/group/task.rs
+++ b/src/group/task.rs
@@ -6,6 +6,7 @@
 use super::member::{Duties, Event, Member};
 use super::record;
 use super::voter::Voter;
+use super::writer::Writer;
 use super::{Settings, REBALANCE};
 use crate::api::Micros;
 use crate::broker::operations::Operations;
@@ -19,9 +20,11 @@
 use std::cell::RefCell;
 use std::io::ErrorKind;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use tokio::net::UdpSocket;
 use tokio::sync::mpsc::{unbounded_channel, UnboundedReceiver, UnboundedSender};
+use tokio::sync::Notify;
 
 /// Between two looks at what is due.
 const TURN: Duration = Duration::from_millis(50);
@@ -102,7 +105,9 @@
 
 /// The group's task; it has a socket from here on.
 pub struct Group {
-    member: Member<Folder>,
+    member: Member<Writer>,
+    /// Notified when the voter's storage has kept something.
+    kept: Arc<Notify>,
     socket: UdpSocket,
     seal: Seal,
     clock: Clock,
@@ -126,13 +131,16 @@
         let clock = Clock::new();
         let terms = lease::Terms { span: settings.span, drift: settings.drift };
         let mut voter = None;
+        let kept_notify = Arc::new(Notify::new());
         if settings.voters.iter().any(|voter| voter == name) {
             let folder =
                 settings.folder.as_ref().ok_or_else(|| said(format!("{name} votes: give it a `folder`")))?;
             match Folder::open(folder, name) {
                 Ok((folder, kept)) => {
                     let others = &settings.voters;
-                    let made = Voter::new(clock.now(), name, others, terms, folder, kept);
+                    let writer =
+                        Writer::start(folder, kept_notify.clone()).map_err(|e| said(e.to_string()))?;
+                    let made = Voter::new(clock.now(), name, others, terms, writer, kept);
                     voter = Some(made.map_err(|e| said(format!("{name} {e}")))?);
                 }
                 // It serves, and watches like any other: nobody's clients are to suffer for it.
@@ -162,7 +170,10 @@
         let (orders, heard) = unbounded_channel();
         let board = Rc::new(Board { text: RefCell::default(), zones: RefCell::default(), orders });
         tracing::info!("{name} is in the group at {}", settings.listen);
-        Ok((Group { member, socket, seal, clock, orders: heard, board: board.clone(), tells: None }, board))
+        let kept = kept_notify;
+        let group =
+            Group { member, kept, socket, seal, clock, orders: heard, board: board.clone(), tells: None };
+        Ok((group, board))
     }
 
     /// Zones by a plan, made of these zones and classes, the worthiest first.
@@ -196,7 +207,7 @@
                     }
                 }
                 _ = self.socket.readable() => {
-                    // All that has come: a voter syncs its folder once a turn, and clients wait for that.
+                    // All that has come: a voter hands its storage one write a turn, and clients wait for the turn.
                     for _ in 0..BATCH {
                         let n = match self.socket.try_recv_from(&mut buffer) {
                             Ok((n, _)) => n,
@@ -215,6 +226,7 @@
                         }
                     }
                 }
+                () = self.kept.notified() => {}
                 () = tokio::time::sleep(TURN) => {}
             }
             let now = self.clock.now();
--- a/src/group/voter.rs
+++ b/src/group/voter.rs
@@ -9,13 +9,15 @@
 use super::record::{Command, Outcome, State};
 use crate::api::Micros;
 use protobuf::Message as _;
-use raft::eraftpb::{ConfChangeSingle, ConfChangeType, ConfChangeV2, Entry, EntryType, Message, Snapshot};
+use raft::eraftpb::{
+    ConfChangeSingle, ConfChangeType, ConfChangeV2, Entry, EntryType, HardState, Message, Snapshot,
+};
 use raft::storage::MemStorage;
 use raft::{
     Config, GetEntriesContext, ProgressState, RaftState, RawNode, SnapshotStatus, StateRole, Storage,
 };
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 /// Between two ticks of the protocol; ten without a word, and another stands for election.
 pub const TICK: Micros = 100_000;
@@ -124,6 +126,20 @@
 /// A snapshot that was not taken by then was lost on its way.
 const TAKEN: Micros = 2_000_000;
 
+/// What waits until the storage has kept a write.
+struct Unkept {
+    /// The number of the write.
+    write: u64,
+    /// The number of the protocol's step that it is for.
+    step: u64,
+    /// Messages that promise what the write keeps.
+    promises: Vec<Message>,
+    /// Up to where a snapshot in it is applied.
+    snapshot: Option<u64>,
+    /// How far the storage has come with it.
+    far: Option<Far>,
+}
+
 /// One voter.
 pub struct Voter<K> {
     node: RawNode<Log>,
@@ -132,6 +148,11 @@
     /// Numbers of folders whose names were told, beside those in the record.
     book: BTreeMap<u64, String>,
     keep: K,
+    /// Writes that were handed to the storage, and what waits for them.
+    saved: u64,
+    unkept: VecDeque<Unkept>,
+    /// Term and vote that were handed to it last.
+    kept_hard: HardState,
     instead: Option<String>,
     state: State,
     terms: Terms,
@@ -214,6 +235,9 @@
             others: others.iter().filter(|name| *name != me).cloned().collect(),
             book: BTreeMap::new(),
             keep,
+            saved: 0,
+            kept_hard: kept.hard.clone(),
+            unkept: VecDeque::new(),
             instead: kept.instead,
             state,
             terms,
@@ -434,53 +458,33 @@
         }
     }
 
-    /// Keeps it, and then knows how far the folder has come.
     fn save(&mut self, save: Save) -> Result<(), String> {
         self.keep.save(save)?;
-        if let Some(hard) = save.hard {
-            self.far = self.far.max(Far { term: hard.term, decided: hard.commit });
+        self.saved += 1;
+        Ok(())
+    }
+
+    /// Goes on with what the storage has kept meanwhile: only now its promises are sent.
+    fn take_kept(&mut self) -> Result<(), String> {
+        let kept = self.keep.kept(self.saved)?;
+        while let Some(done) = self.unkept.pop_front_if(|unkept| unkept.write <= kept) {
+            self.far = done.far.map_or(self.far, |far| self.far.max(far));
+            self.node.on_persist_ready(done.step);
+            if let Some(index) = done.snapshot {
+                self.node.advance_apply_to(index);
+            }
+            self.send(done.promises);
         }
         Ok(())
     }
 
     fn settle(&mut self, now: Micros) -> Result<(), String> {
+        self.take_kept()?;
         while self.node.has_ready() {
-            let mut ready = self.node.ready();
-            self.send(ready.take_messages());
-            if !ready.snapshot().is_empty() {
-                let snapshot = ready.snapshot().clone();
-                self.state = State::read(&snapshot.data).ok_or("a snapshot came that cannot be read")?;
-                self.applied = snapshot.get_metadata().index;
-                let store = self.node.mut_store();
-                store.memory.wl().apply_snapshot(snapshot.clone()).map_err(|e| e.to_string())?;
-                store.latest = snapshot;
-            }
-            let decided = ready.take_committed_entries();
-            let (entries, hard) = (ready.entries().clone(), ready.hs().cloned());
-            let snapshot = Some(ready.snapshot()).filter(|s| !s.is_empty());
-            if !entries.is_empty() || hard.is_some() || snapshot.is_some() {
-                let anew = snapshot.is_some();
-                self.save(Save { entries: &entries, hard: hard.as_ref(), snapshot, anew })?;
-                let mut log = self.node.store().memory.wl();
-                log.append(&entries).map_err(|e| e.to_string())?;
-                hard.into_iter().for_each(|hard| log.set_hardstate(hard));
-            }
-            self.send(ready.take_persisted_messages());
-            self.apply(now, decided)?;
-            let mut light = self.node.advance(ready);
-            if let Some(commit) = light.commit_index() {
-                self.node.store().memory.wl().mut_hard_state().set_commit(commit);
-            }
-            self.send(light.take_messages());
-            self.apply(now, light.take_committed_entries())?;
-            self.node.advance_apply();
-        }
-        let leader = (self.node.raft.leader_id, self.node.raft.term);
-        if leader != self.known_leader {
-            self.known_leader = leader;
-            let (leader, term) = self.leader();
-            tracing::info!(leader, term, "group: leader");
+            self.step(now)?;
+            self.take_kept()?;
         }
+        self.note_leader();
         if self.node.raft.state != StateRole::Leader {
             self.watch = None;
             self.waits.clear();
@@ -492,6 +496,76 @@
         self.cut()
     }
 
+    /// One step of the protocol: sends what promises nothing, hands what must be kept to the storage, and applies what is decided.
+    fn step(&mut self, now: Micros) -> Result<(), String> {
+        let mut ready = self.node.ready();
+        self.send(ready.take_messages());
+        let snapshot = Some(ready.snapshot().clone()).filter(|snapshot| !snapshot.is_empty());
+        if let Some(snapshot) = &snapshot {
+            self.take_snapshot(snapshot)?;
+        }
+        let (entries, hard) = (ready.entries().clone(), ready.hs().cloned());
+        let written = self.keep_step(&entries, hard.as_ref(), snapshot.as_ref())?;
+        {
+            let mut log = self.node.store().memory.wl();
+            log.append(&entries).map_err(|e| e.to_string())?;
+            hard.iter().for_each(|hard| log.set_hardstate(hard.clone()));
+        }
+        self.unkept.push_back(Unkept {
+            write: self.saved,
+            step: ready.number(),
+            promises: ready.take_persisted_messages(),
+            snapshot: snapshot.map(|snapshot| snapshot.get_metadata().index),
+            far: hard.filter(|_| written).map(|hard| Far { term: hard.term, decided: hard.commit }),
+        });
+        let decided = ready.take_committed_entries();
+        self.node.advance_append_async(ready);
+        if let Some(last) = decided.last().map(|entry| entry.index) {
+            self.apply(now, decided)?;
+            self.node.advance_apply_to(last);
+        }
+        Ok(())
+    }
+
+    fn take_snapshot(&mut self, snapshot: &Snapshot) -> Result<(), String> {
+        self.state = State::read(&snapshot.data).ok_or("a snapshot came that cannot be read")?;
+        self.applied = snapshot.get_metadata().index;
+        let store = self.node.mut_store();
+        store.memory.wl().apply_snapshot(snapshot.clone()).map_err(|e| e.to_string())?;
+        store.latest = snapshot.clone();
+        Ok(())
+    }
+
+    /// Hands to the storage what must be kept of a step; whether there was any.
+    fn keep_step(
+        &mut self,
+        entries: &[Entry],
+        hard: Option<&HardState>,
+        snapshot: Option<&Snapshot>,
+    ) -> Result<bool, String> {
+        // A leader's log says what it has decided: that alone is no cause to write.
+        let leads = self.node.raft.state == StateRole::Leader;
+        let kept = &self.kept_hard;
+        let news = hard.is_some_and(|hard| !leads || (hard.term, hard.vote) != (kept.term, kept.vote));
+        if entries.is_empty() && snapshot.is_none() && !news {
+            return Ok(false);
+        }
+        if let Some(hard) = hard {
+            self.kept_hard = hard.clone();
+        }
+        self.save(Save { entries, hard, snapshot, anew: snapshot.is_some() })?;
+        Ok(true)
+    }
+
+    fn note_leader(&mut self) {
+        let leader = (self.node.raft.leader_id, self.node.raft.term);
+        if leader != self.known_leader {
+            self.known_leader = leader;
+            let (leader, term) = self.leader();
+            tracing::info!(leader, term, "group: leader");
+        }
+    }
+
     fn send(&mut self, messages: Vec<Message>) {
         for message in messages {
             let to = self.name(message.to).map(String::from);
--- a/src/group/voter_search.rs
+++ b/src/group/voter_search.rs
@@ -6,8 +6,6 @@
 use super::tests::{acquire, Memory, Net};
 use super::*;
 use redb::{Database, StorageBackend};
-use std::cell::RefCell;
-use std::rc::Rc;
 use std::sync::{Arc, Mutex};
 
 /// Guards against a voter whose folder was lost and who votes again for its old self, and against a place that nobody can take:
@@ -23,7 +21,7 @@
     let name = net.names[lost].clone();
     let joiner = Kept::joiner(&name, &name, 7);
     let id = joiner.id;
-    net.kept[lost] = Memory(Rc::new(RefCell::new((joiner, false))));
+    net.kept[lost] = Memory::new(joiner);
     net.lost = 10;
     net.start(lost);
     net.until("the place", |net| {
@@ -41,7 +39,7 @@
     net.start(other);
     // The old folder on another machine: nobody asks it, and the record says that it has no place.
     let later = net.voters[net.leader().unwrap()].as_ref().unwrap().state().clone();
-    let keep = Memory(Rc::new(RefCell::new((old.clone(), false))));
+    let keep = Memory::new(old.clone());
     let mut ghost = Voter::new(net.now, &name, &net.names, net.terms, keep, old).unwrap();
     assert!(ghost.replaced(&later) && !net.voters[lost].as_ref().unwrap().replaced(&later));
     for n in 0..200 {
--- a/src/group/voter_tests.rs
+++ b/src/group/voter_tests.rs
@@ -2,16 +2,60 @@
 
 use super::super::folder::Folder;
 use super::super::lease::Holder;
+use super::super::writer::Write;
 use super::*;
 use std::cell::RefCell;
 use std::rc::Rc;
 
+/// Writes that a slow storage has taken and not kept yet: a voter that is killed loses them.
+#[derive(Default)]
+pub struct Late {
+    slow: bool,
+    waits: std::collections::VecDeque<Write>,
+    done: u64,
+}
+
 /// A folder in memory that outlives its voter, and fails when told to.
 #[derive(Clone, Default)]
-pub struct Memory(pub Rc<RefCell<(Kept, bool)>>);
+pub struct Memory(pub Rc<RefCell<(Kept, bool)>>, pub Rc<RefCell<Late>>);
 
 impl Keep for Memory {
     fn save(&mut self, save: Save) -> Result<(), String> {
+        if self.1.borrow().slow {
+            self.1.borrow_mut().waits.push_back(Write::of(&save));
+            return Ok(());
+        }
+        self.write(save)
+    }
+
+    fn kept(&mut self, saved: u64) -> Result<u64, String> {
+        let late = self.1.borrow();
+        Ok(if late.slow { late.done } else { saved })
+    }
+}
+
+impl Memory {
+    pub fn new(kept: Kept) -> Memory {
+        Memory(Rc::new(RefCell::new((kept, false))), Rc::default())
+    }
+
+    /// So many more writes are kept.
+    fn finish(&mut self, writes: u64) {
+        for _ in 0..writes {
+            let Some(write) = self.1.borrow_mut().waits.pop_front() else { return };
+            self.write(write.save()).unwrap();
+            self.1.borrow_mut().done += 1;
+        }
+    }
+
+    /// Its voter was killed.
+    fn lose_late(&mut self) {
+        let mut late = self.1.borrow_mut();
+        late.waits.clear();
+        late.done = 0;
+    }
+
+    fn write(&mut self, save: Save) -> Result<(), String> {
         let Save { entries, hard, snapshot, anew } = save;
         let (kept, full) = &mut *self.0.borrow_mut();
         if *full {
@@ -58,8 +102,7 @@
 impl Net {
     pub fn new(n: usize, seed: u64) -> Net {
         let names: Vec<String> = (0..n).map(|i| format!("v{i}")).collect();
-        let kept =
-            names.iter().map(|name| Memory(Rc::new((Kept::founder(name, &names), false).into()))).collect();
+        let kept = names.iter().map(|name| Memory::new(Kept::founder(name, &names))).collect();
         let (voters, answers, cut) = ((0..n).map(|_| None).collect(), Vec::new(), Vec::new());
         let mut net = Net {
             now: 0,
@@ -81,6 +124,7 @@
     }
 
     pub fn start(&mut self, i: usize) {
+        self.kept[i].lose_late();
         let kept = self.kept[i].0.borrow().0.clone();
         let voter =
             Voter::new(self.clock(i), &self.names[i], &self.names, self.terms, self.kept[i].clone(), kept);
@@ -240,10 +284,41 @@
 /// Guards against two holders under loss, doubling, cuts and kills: two ask without end, and all is drawn from a seed.
 #[test]
 fn two_holders_never_act_at_once_over_voters_that_fail_by_a_seed() {
+    let grants = grants_over_failing_voters(100, false);
+    assert!(grants > 100, "{grants} grants");
+}
+
+/// Guards against a vote that is given before it is kept: where two of three storages keep nothing nobody can be elected.
+#[test]
+fn a_voter_whose_storage_keeps_nothing_promises_nothing() {
+    let mut net = Net::new(3, 7);
+    (1..3).for_each(|i| net.kept[i].1.borrow_mut().slow = true);
+    for _ in 0..1_000 {
+        net.step();
+        assert_eq!(net.leader(), None);
+    }
+    for _ in 0..500 {
+        (1..3).for_each(|i| net.kept[i].finish(1));
+        net.step();
+    }
+    assert!(net.leader().is_some());
+}
+
+/// The same where each write takes up to seconds, and a voter that is killed loses those that were not kept: what it had promised
+/// by them would be lost with them, had it said so before.
+#[test]
+fn two_holders_never_act_at_once_over_voters_with_slow_storage() {
+    let grants = grants_over_failing_voters(200, true);
+    assert!(grants > 50, "{grants} grants");
+}
+
+/// Two who want a task, over three voters that are cut off, killed and started; how often it was granted.
+fn grants_over_failing_voters(first_seed: u64, slow: bool) -> usize {
     let (mut grants, mut most) = (0, 0);
     for seed in 0..12 {
-        let mut net = Net::new(3, 100 + seed);
+        let mut net = Net::new(3, first_seed + seed);
         net.lost = 15;
+        net.kept.iter().for_each(|memory| memory.1.borrow_mut().slow = slow);
         let mut holders: Vec<Holder> = ["a", "b"].map(|me| Holder::new(0, TERMS, "t", me)).into();
         let mut asks: BTreeMap<u64, (usize, u64)> = BTreeMap::new();
         let (mut n, mut last, mut idle) = (0, 0, 0);
@@ -262,6 +337,10 @@
                 }),
                 _ => {}
             }
+            for i in 0..3 {
+                let writes = if net.draw().is_multiple_of(4) { 1 + net.draw() % 3 } else { 0 };
+                net.kept[i].finish(writes);
+            }
             net.step();
             for (i, holder) in holders.iter_mut().enumerate() {
                 // Now and then one stops for long.
@@ -298,7 +377,7 @@
             }
         }
     }
-    assert!(grants > 100, "{grants} grants");
+    grants
 }
 
 /// Guards against a folder that another voter uses, one that is torn, and one made anew for a voter that had one.
--- /dev/null
+++ b/src/group/writer.rs
@@ -0,0 +1,94 @@
+//! A voter's storage on a thread of its own: a slow disk delays what the group decides, and never the clients.
+//!
+//! Invariant: writes are done in the order in which they were handed over, and counted as kept only when they are. After a write
+//! that failed none is done any more, and the voter is told.
+
+use super::folder::{Keep, Save};
+use raft::eraftpb::{Entry, HardState, Snapshot};
+use std::sync::mpsc::{channel, Receiver, Sender, TryRecvError};
+use std::sync::Arc;
+use std::thread;
+use tokio::sync::Notify;
+
+/// A write that was handed over.
+pub(super) struct Write {
+    entries: Vec<Entry>,
+    hard: Option<HardState>,
+    snapshot: Option<Snapshot>,
+    anew: bool,
+}
+
+impl Write {
+    /// What is to be written, owned.
+    pub fn of(save: &Save) -> Write {
+        let Save { entries, hard, snapshot, anew } = *save;
+        Write { entries: entries.to_vec(), hard: hard.cloned(), snapshot: snapshot.cloned(), anew }
+    }
+
+    /// For the storage.
+    pub fn save(&self) -> Save<'_> {
+        let Write { entries, hard, snapshot, anew } = self;
+        Save { entries, hard: hard.as_ref(), snapshot: snapshot.as_ref(), anew: *anew }
+    }
+}
+
+/// Storage whose writes another thread does.
+pub struct Writer {
+    writes: Sender<Write>,
+    /// How many writes more are kept, each time.
+    results: Receiver<Result<u64, String>>,
+    kept: u64,
+    failed: Option<String>,
+}
+
+impl Writer {
+    /// Has a thread write to this storage; `done` is notified after each write.
+    pub fn start(storage: impl Keep + Send + 'static, done: Arc<Notify>) -> std::io::Result<Writer> {
+        let ((writes, to_write), (told, results)) = (channel(), channel());
+        let write = move || write_all(storage, &to_write, &told, &done);
+        thread::Builder::new().name("group-storage".into()).spawn(write)?;
+        Ok(Writer { writes, results, kept: 0, failed: None })
+    }
+}
+
+/// Writes until a write fails, or the voter is gone. All that waits is one write: a slow disk is not left behind by its voter.
+fn write_all(
+    mut storage: impl Keep,
+    writes: &Receiver<Write>,
+    results: &Sender<Result<u64, String>>,
+    done: &Notify,
+) {
+    while let Ok(first) = writes.recv() {
+        let batch: Vec<Write> = std::iter::once(first).chain(writes.try_iter()).collect();
+        let saves: Vec<Save> = batch.iter().map(Write::save).collect();
+        let result = storage.save_all(&saves);
+        let failed = result.is_err();
+        let voter_is_gone = results.send(result.map(|()| batch.len() as u64)).is_err();
+        done.notify_one();
+        if failed || voter_is_gone {
+            return;
+        }
+    }
+}
+
+impl Keep for Writer {
+    fn save(&mut self, save: Save) -> Result<(), String> {
+        // Where the thread has ended after a failure the reason is told by `kept`.
+        let _ = self.writes.send(Write::of(&save));
+        Ok(())
+    }
+
+    fn kept(&mut self, _: u64) -> Result<u64, String> {
+        loop {
+            match self.results.try_recv() {
+                Ok(Ok(more)) => self.kept += more,
+                Ok(Err(why)) => self.failed = Some(why),
+                Err(TryRecvError::Empty | TryRecvError::Disconnected) => break,
+            }
+        }
+        match &self.failed {
+            Some(why) => Err(why.clone()),
+            None => Ok(self.kept),
+        }
+    }
+}
--- a/tests/group.rs
+++ b/tests/group.rs
@@ -142,6 +142,43 @@
 }
 
 /// Guards against a checker that finds nothing.
+/// A voter synced its storage on the thread that serves clients, once a turn: with a disk that took 300 ms for it every line of a
+/// client waited for up to 300 ms (`a write of the log was slow took_ms=303` and, just after it, `a turn came late`).
+#[test]
+fn a_voter_with_a_slow_disk_serves_its_clients_as_ever() {
+    const DISK: u64 = 300;
+    let mut g = group("slow-disk", &[]);
+    g.taken(0);
+    let mut client = g.client(0);
+    client.say("OPEN slow 1 c=watch,d=2000\r\n");
+    assert_eq!(client.hear(), "UP 1");
+    drop(client);
+    g.kill(0);
+    g.write_delay = DISK;
+    g.run(0);
+    let mut client = g.client(0);
+    client.say("OPEN slower 1 c=watch,d=2000\r\n");
+    assert_eq!(client.hear(), "UP 1");
+    let mark = g.mark();
+    let mut times = Vec::new();
+    let until = Instant::now() + Duration::from_millis(4 * SPAN);
+    while Instant::now() < until {
+        // Each of these makes the voters write.
+        g.call(1, "GIVEUP");
+        let begun = Instant::now();
+        client.say("there?\r\n");
+        client.hear();
+        times.push(begun.elapsed());
+        thread::sleep(Duration::from_millis(7));
+    }
+    let slow = |(i, line): &(usize, String)| *i == 0 && line.contains("a write of the log was slow");
+    let slow_writes = g.log().iter().skip(mark).filter(|entry| slow(entry)).count();
+    let late = times.iter().filter(|time| time.as_millis() as u64 >= DISK / 2).count();
+    println!("{} lines, {slow_writes} slow writes, slowest line {:?}", times.len(), times.iter().max());
+    assert!(slow_writes >= 3, "{slow_writes}");
+    assert_eq!(late, 0, "of {} lines", times.len());
+}
+
 #[test]
 fn the_checker_finds_each_planted_fault() {
     let act =
--- a/tests/relay/mod.rs
+++ b/tests/relay/mod.rs
@@ -39,6 +39,8 @@
     log: Arc<Mutex<Vec<(usize, String)>>>,
     rates: Vec<f64>,
     format: &'static str,
+    /// By how much each write of a voter is late, in milliseconds.
+    pub write_delay: u64,
 }
 
 /// A lease's span, in milliseconds.
@@ -93,7 +95,9 @@
         let processes = (0..n).map(|_| Process { child: None, admin: None, lines: None }).collect();
         let rates = (0..n).map(|i| rates.get(i).copied().unwrap_or(1.0)).collect();
         let (discovery, log) = (Discovery::quiet(), Arc::default());
-        let mut group = Group { dir, discovery, instance, ways, over, processes, log, rates, format };
+        let write_delay = 0;
+        let mut group =
+            Group { dir, discovery, instance, ways, over, processes, log, rates, format, write_delay };
         (0..3).for_each(|i| group.found(i, None));
         (0..n).for_each(|i| group.run(i));
         group
@@ -135,6 +139,7 @@
             .env("LB_ADMIN", "127.0.0.1:0")
             .env("OAKDEAL_OPERATOR", self.dir.join(format!("n{i}.toml")))
             .env("OAKDEAL_RIG_CLOCK_RATE", self.rates[i].to_string())
+            .env("OAKDEAL_RIG_WRITE_DELAY_MS", self.write_delay.to_string())
             .env("RUST_LOG", "oakdeal=info,oakdeal::act=debug")
             .env("OAKDEAL_LOG_FORMAT", self.format)
             .env_remove("TMPDIR")
