Split the planner for zones: allocation, paths, and the field's names

src/failover/plan.rs had grown past 600 lines with three concepts in it. Change: allocation.rs (AllocationInput, target_allocation, staged_allocation; they were Question, aim and share_out) and path.rs (Path, it was Way) stand on their own, with what they guarantee at their top; plan.rs is 529 lines, most of them the planner.

--- a/lab/tests/fleet.rs
+++ b/lab/tests/fleet.rs
@@ -54,7 +54,7 @@
     played(&names, 2).iter().for_each(|wrong| assert_eq!(*wrong, Vec::<String>::new()));
 }
 
-/// Two of three zones fail at once: the third holds what it has room for, and the rest is refused. Known to be red: KNOWN-RED.txt.
+/// Two of three zones fail at once: the third holds what it has room for, and the rest is refused. docs/incidents/002.
 #[test]
 fn a_region_that_fails_fills_the_last_zone_to_its_room_and_no_further() {
     played(&["region-dead"], 1).iter().for_each(|wrong| assert_eq!(*wrong, Vec::<String>::new()));
--- a/src/failover/mod.rs
+++ b/src/failover/mod.rs
@@ -8,9 +8,11 @@
 //! [`evidence`]: what one balancer's sockets show, as a digest, and what many digests say together. [`plan`]: what follows from
 //! it, by the holder of the lease [`TASK`]; it goes into the record. [`follow`]: which zone a command goes to here. docs/failover.md.
 
+pub mod allocation;
 pub mod capacity;
 pub mod evidence;
 pub mod follow;
+mod path;
 pub mod plan;
 
 use crate::api::Micros;
--- a/src/failover/plan.rs
+++ b/src/failover/plan.rs
@@ -6,8 +6,10 @@
 //! when everybody who is heard follows the last, or when whoever is not heard follows none any more. The same input gives the
 //! same plan.
 
+use super::allocation::{staged_allocation, AllocationInput};
 use super::capacity::{self, Grants, Holder, Report};
 use super::evidence::{held, room, verdict, wants, Digest, Digests, Verdict};
+use super::path::Path;
 use super::Terms;
 use crate::api::Micros;
 use serde::{Deserialize, Serialize};
@@ -115,101 +117,6 @@
     Hold,
 }
 
-/// What is shared out: by zone that traffic comes from and class, what is wanted; by zone, the room; by way, the part of the
-/// room or of the want that may go it, from 0 to 1.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct Question {
-    /// Zones, sorted.
-    pub zones: Vec<String>,
-    /// Classes, the worthiest first.
-    pub classes: Vec<String>,
-    /// By zone and class.
-    pub wants: Vec<Vec<f64>>,
-    /// By zone.
-    pub room: Vec<f64>,
-    /// From, to: 0 is closed, 1 is open.
-    pub open: Vec<Vec<f64>>,
-    /// What the plan before gives, by zone, class and zone; it is still followed by some.
-    pub before: Vec<Vec<Vec<f64>>>,
-    /// By zone: what stands there now. Some of it may be of plans before the last: who is refused by a later one is not cut off.
-    pub stands: Vec<f64>,
-}
-
-/// By zone, class and zone: what goes where.
-pub type Amounts = Vec<Vec<Vec<f64>>>;
-
-/// What each zone should get in the end: class by class from the worthiest on, each zone's own first, then to the nearest that
-/// has room.
-pub fn aim(q: &Question, distance: impl Fn(usize, usize) -> u32) -> Amounts {
-    let (n, m) = (q.zones.len(), q.classes.len());
-    let mut left = q.room.clone();
-    let mut way: Vec<Vec<f64>> = (0..n)
-        .map(|f| (0..n).map(|t| q.open[f][t] * q.room[t].min(q.wants[f].iter().sum::<f64>())).collect())
-        .collect();
-    let mut amounts = vec![vec![vec![0.0; n]; m]; n];
-    let mut pairs: Vec<(usize, usize)> = (0..n).flat_map(|f| (0..n).map(move |t| (f, t))).collect();
-    pairs.sort_by_key(|&(f, t)| (distance(f, t), f, t));
-    for (c, &(f, t)) in (0..m).flat_map(|c| pairs.iter().map(move |pair| (c, pair))) {
-        let wanted = q.wants[f][c] - amounts[f][c].iter().sum::<f64>();
-        let most = wanted.min(left[t]).min(way[f][t]).max(0.0);
-        amounts[f][c][t] = most;
-        left[t] -= most;
-        way[f][t] -= most;
-    }
-    amounts
-}
-
-/// What each zone gets now, while some follow the plan before: of its aim each has what it had, and more only out of what the plan
-/// before and all that stands leave free. Who cannot go to the new zone yet stays at the old one, unless others wait for that room.
-pub fn share_out(q: &Question, distance: impl Fn(usize, usize) -> u32) -> Amounts {
-    let aim = aim(q, distance);
-    if q.before.is_empty() {
-        return aim;
-    }
-    let (n, m) = (q.zones.len(), q.classes.len());
-    let had = |t: usize| q.before.iter().flatten().map(|to| to[t]).sum::<f64>();
-    let taken = |t: usize| had(t).max(q.stands[t]);
-    let mut free: Vec<f64> = (0..n).map(|t| (q.room[t] - taken(t)).max(0.0)).collect();
-    let (mut now, mut waits) = (aim.clone(), vec![0.0; n]);
-    let all = || (0..m).flat_map(move |c| (0..n).flat_map(move |f| (0..n).map(move |t| (f, c, t))));
-    for (f, c, t) in all() {
-        let known = aim[f][c][t].min(q.before[f][c][t]);
-        let more = (aim[f][c][t] - known).min(free[t]);
-        now[f][c][t] = known + more;
-        free[t] -= more;
-        waits[t] += aim[f][c][t] - known - more;
-    }
-    let mut left: Vec<f64> =
-        (0..n).map(|t| q.room[t] - now.iter().flatten().map(|to| to[t]).sum::<f64>()).collect();
-    for (f, c, t) in all().filter(|&(_, _, t)| waits[t] <= 0.0) {
-        let unserved = aim[f][c].iter().sum::<f64>() - now[f][c].iter().sum::<f64>();
-        let kept = (q.before[f][c][t] - now[f][c][t]).min(unserved).min(left[t]).max(0.0);
-        // Not where it no longer may go.
-        if q.open[f][t] > 0.0 {
-            now[f][c][t] += kept;
-            left[t] -= kept;
-        }
-    }
-    now
-}
-
-/// One way from a zone to a zone.
-#[derive(Clone, Debug, Default)]
-struct Way {
-    /// It is closed since, and until then at least; or opens since.
-    closed: Option<Micros>,
-    opens: Option<Micros>,
-    bad_since: Option<Micros>,
-    good_since: Option<Micros>,
-    /// When it was last closed, and how often in a short time.
-    last: Micros,
-    times: u32,
-}
-
-/// The first step of a return; each further one is twice as much.
-const FIRST: f64 = 0.1;
-/// Closed again within so many stays, it stays closed for longer.
-const AGAIN: u64 = 8;
 /// What is reserved for a balancer that is not heard any more is kept for so many lifetimes of a plan: it may be cut off and hold
 /// it still, or it is gone.
 const RESERVED_LIFETIMES: u64 = 10;
@@ -220,44 +127,6 @@
 /// Of its room a zone keeps so much once it spills: it spills from the whole on, and until it has so much more than it needs.
 const SPILL: f64 = 0.9;
 
-impl Way {
-    /// Takes in what is said of it now; the part of it that is open.
-    fn turn(&mut self, now: Micros, verdict: Verdict, terms: &Terms) -> f64 {
-        let since = |mark: &mut Option<Micros>, on: bool| match (on, *mark) {
-            (false, _) => *mark = None,
-            (true, None) => *mark = Some(now),
-            (true, Some(_)) => {}
-        };
-        since(&mut self.bad_since, verdict == Verdict::Bad);
-        // Where nothing goes nobody has seen a failure: a probe that is answered makes it good.
-        since(&mut self.good_since, verdict == Verdict::Good);
-        let long = |mark: Option<Micros>, span: Micros| mark.is_some_and(|at| now >= at + span);
-        let stay = terms.stay << self.times.saturating_sub(1).min(4);
-        match self.closed {
-            None if long(self.bad_since, terms.confirm) => {
-                let again = self.times > 0 && now < self.last + AGAIN * stay;
-                (self.times, self.last) = (if again { self.times + 1 } else { 1 }, now);
-                (self.closed, self.opens) = (Some(now), None);
-            }
-            Some(_) if long(self.good_since, stay) => {
-                (self.closed, self.opens, self.last) = (None, Some(now), now);
-            }
-            _ => {}
-        }
-        match (self.closed, self.opens) {
-            (Some(_), _) => 0.0,
-            (None, None) => 1.0,
-            (None, Some(at)) => {
-                let level = FIRST * 2f64.powi(((now - at) / terms.step) as i32);
-                if level >= 1.0 {
-                    self.opens = None;
-                }
-                level.min(1.0)
-            }
-        }
-    }
-}
-
 /// The holder's side.
 pub struct Planner {
     terms: Terms,
@@ -265,7 +134,7 @@
     /// The worthiest first.
     classes: Vec<String>,
     heard: BTreeMap<String, (Micros, Digest)>,
-    ways: BTreeMap<(usize, usize), Way>,
+    paths: BTreeMap<(usize, usize), Path>,
     /// When it saw each order first, and how its zone was then.
     orders: BTreeMap<String, (u64, Micros, f64)>,
     spills: Vec<bool>,
@@ -281,10 +150,10 @@
     pub fn new(terms: Terms, mut zones: Vec<String>, classes: Vec<String>) -> Planner {
         zones.sort();
         zones.truncate(super::ZONES);
-        let (heard, ways, orders) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
+        let (heard, paths, orders) = (BTreeMap::new(), BTreeMap::new(), BTreeMap::new());
         let (spills, silent) = (vec![false; zones.len()], BTreeMap::new());
         let classes = classes.into_iter().take(super::CLASSES).collect();
-        Planner { terms, zones, classes, heard, ways, orders, spills, silent, begun: None, put: 0 }
+        Planner { terms, zones, classes, heard, paths, orders, spills, silent, begun: None, put: 0 }
     }
 
     /// A digest came, late, doubled or in order.
@@ -311,24 +180,24 @@
         let terms = self.terms.clone();
         self.heard.retain(|_, (at, _)| *at + 4 * terms.tell.max(250_000) >= now);
         let begun = *self.begun.get_or_insert(now);
-        // What was planned before is what the ways are taken for, until something else is seen.
+        // Paths are as the plan in force has them until something else is seen.
         if begun == now {
             self.resume(now, record);
         }
         let digests: Digests = self.heard.iter().map(|(name, (_, d))| (name.clone(), d.clone())).collect();
         let over = self.orders(now, orders);
         self.look_for_silent(now, &digests, record);
-        let (question, whys) = self.question(now, &digests, orders, record);
-        let renewed = record.and_then(|plan| self.renewal(now, plan, &question, &digests));
+        let (input, whys) = self.allocation_input(now, &digests, orders, record);
+        let renewed = record.and_then(|plan| self.renewal(now, plan, &input, &digests));
         // Everybody who is heard follows the last plan, and whoever is not heard follows none: two at once are enough.
         let serial = record.map_or(0, |plan| plan.serial);
         let all = digests.values().all(|d| d.follows.is_none_or(|follows| follows == serial) || serial == 0);
         let settled = all && now >= self.put + terms.over || now >= self.put + terms.valid + terms.over;
         let next = Some(()).filter(|()| settled && self.listened(now, &digests));
-        let next = next.map(|()| self.plan(&question, &whys, record));
+        let next = next.map(|()| self.plan(&input, &whys, record));
         let changed = next.filter(|next| record.is_none_or(|old| differs(old, next)));
-        let changed =
-            changed.map(|next| Plan { grants: self.grants(&next, &question.room, &digests, record), ..next });
+        let changed = changed
+            .map(|next| Plan { grants: self.grants(&next, &input.capacity, &digests, record), ..next });
         let put = changed.or(renewed);
         if put.is_some() {
             self.put = now;
@@ -337,7 +206,7 @@
     }
 
     /// The same plan once more, with grants by what is known now, where it is time for that.
-    fn renewal(&self, now: Micros, plan: &Plan, question: &Question, digests: &Digests) -> Option<Plan> {
+    fn renewal(&self, now: Micros, plan: &Plan, input: &AllocationInput, digests: &Digests) -> Option<Plan> {
         let due = now >= self.put + self.terms.valid / 3;
         let may = now >= self.put + self.terms.tell.max(REGRANT);
         if !due && !may {
@@ -345,7 +214,7 @@
         }
         // Whoever has just begun knows neither the zones' capacities nor who holds what.
         let grants = match self.listened(now, digests) {
-            true => self.grants(plan, &question.room, digests, Some(plan)),
+            true => self.grants(plan, &input.capacity, digests, Some(plan)),
             false => plan.grants.clone(),
         };
         let wanted = due || self.helps_somebody(plan, &grants, digests);
@@ -440,7 +309,7 @@
         let Some(plan) = record else { return };
         for (z, name) in self.zones.iter().enumerate() {
             let state = plan.zones.get(name).map_or(State::Near, |zone| zone.state);
-            let way = self.ways.entry((z, z)).or_default();
+            let way = self.paths.entry((z, z)).or_default();
             match state {
                 State::Away if way.closed.is_none() => {
                     (way.closed, way.times, way.last) = (Some(now), way.times.max(1), now)
@@ -467,13 +336,13 @@
         over
     }
 
-    fn question(
+    fn allocation_input(
         &mut self,
         now: Micros,
         digests: &Digests,
         orders: &BTreeMap<String, Order>,
         record: Option<&Plan>,
-    ) -> (Question, Vec<(bool, String)>) {
+    ) -> (AllocationInput, Vec<(bool, String)>) {
         let (n, terms) = (self.zones.len(), self.terms.clone());
         let mut open = vec![vec![1.0; n]; n];
         let mut whys = vec![(false, String::new()); n];
@@ -483,7 +352,7 @@
                 Verdict::Unknown if f != t => verdict(digests, &self.zones[t], &self.zones[t], &terms),
                 said => said,
             };
-            let way = self.ways.entry((f, t)).or_default();
+            let way = self.paths.entry((f, t)).or_default();
             let level = way.turn(now, said, &terms);
             open[f][t] = level;
             if f == t && level < 1.0 {
@@ -541,26 +410,35 @@
             (0..n).map(of).collect()
         });
         let (zones, classes) = (self.zones.clone(), self.classes.clone());
-        (Question { zones, classes, wants: all, room: rooms, open, before, stands }, whys)
+        let input = AllocationInput {
+            zones,
+            classes,
+            demand: all,
+            capacity: rooms,
+            open,
+            previously_allocated: before,
+            established: stands,
+        };
+        (input, whys)
     }
 
-    fn plan(&mut self, q: &Question, whys: &[(bool, String)], record: Option<&Plan>) -> Plan {
+    fn plan(&mut self, q: &AllocationInput, whys: &[(bool, String)], record: Option<&Plan>) -> Plan {
         let (n, terms) = (q.zones.len(), &self.terms);
-        let mut question = q.clone();
-        let want = |f: usize| q.wants[f].iter().sum::<f64>();
+        let mut input = q.clone();
+        let want = |f: usize| q.demand[f].iter().sum::<f64>();
         // One that spills goes on until it has room to spare, so that it does not change with every client.
         for z in 0..n {
-            let spills = want(z) > q.room[z] * if self.spills[z] { SPILL } else { 1.0 };
+            let spills = want(z) > q.capacity[z] * if self.spills[z] { SPILL } else { 1.0 };
             self.spills[z] = spills && q.open[z][z] >= 1.0;
             if self.spills[z] {
-                question.open[z][z] = (SPILL * q.room[z] / want(z)).min(1.0);
+                input.open[z][z] = (SPILL * q.capacity[z] / want(z)).min(1.0);
             }
         }
         let distance = |f: usize, t: usize| terms.distance(&q.zones[f], &q.zones[t]);
-        let amounts = share_out(&question, distance);
+        let amounts = staged_allocation(&input, distance);
         let given = |t: usize| amounts.iter().flatten().map(|to| to[t]).sum::<f64>();
         let serial = record.map_or(0, |plan| plan.serial) + 1;
-        let spare: Vec<f64> = (0..n).map(|t| q.room[t] - given(t)).collect();
+        let spare: Vec<f64> = (0..n).map(|t| q.capacity[t] - given(t)).collect();
         let near = |f: usize| {
             let mut order: Vec<usize> = (0..n).collect();
             order.sort_by_key(|&t| (distance(f, t), t));
@@ -581,7 +459,7 @@
         for f in 0..n {
             let (order, want) = (near(f), want(f));
             let shares = q.classes.iter().enumerate().map(|(c, class)| {
-                let want = q.wants[f][c];
+                let want = q.demand[f][c];
                 let part = |t: usize| match want > 0.0 {
                     true => (amounts[f][c][t] / want * 1e3 + 1e-6).floor() as u32,
                     // Whoever comes first is taken as the others are: near if that is open.
@@ -589,7 +467,8 @@
                     false => {
                         1_000
                             * u32::from(
-                                order.iter().find(|&&t| q.open[f][t] > 0.0 && q.room[t] > 0.0) == Some(&t),
+                                order.iter().find(|&&t| q.open[f][t] > 0.0 && q.capacity[t] > 0.0)
+                                    == Some(&t),
                             )
                     }
                 };
@@ -608,10 +487,10 @@
             let since = was.filter(|was| was.state == state).map_or(serial, |was| was.since);
             let why = match (&whys[f], state) {
                 ((_, why), _) if !why.is_empty() => why.clone(),
-                (_, State::Spill) => format!("{want:.0} wanted, room for {:.0}", q.room[f]),
+                (_, State::Spill) => format!("{want:.0} wanted, room for {:.0}", q.capacity[f]),
                 _ => "it carries what it is asked for".into(),
             };
-            let room = q.room[f] as u32;
+            let room = q.capacity[f] as u32;
             let part = then[f].map_or(0, |t| (tried(t) * 1e3) as u32);
             let then = then[f].map(|t| q.zones[t].clone());
             zones.insert(q.zones[f].clone(), Zone { state, why, since, room, shares, then, part });
--- a/src/failover/plan_tests.rs
+++ b/src/failover/plan_tests.rs
@@ -1,5 +1,6 @@
 //! Laws of the plan over random zones, and every mixture of two plans in a small case.
 
+use super::super::allocation::Allocation;
 use super::super::evidence::Seen;
 use super::*;
 use proptest::prelude::*;
@@ -19,14 +20,22 @@
     }
 }
 
-fn question(wants: Vec<Vec<f64>>, room: Vec<f64>, before: Amounts) -> Question {
+fn question(wants: Vec<Vec<f64>>, room: Vec<f64>, before: Allocation) -> AllocationInput {
     let n = room.len();
     let classes = names(wants[0].len());
     let (open, stands) = (vec![vec![1.0; n]; n], vec![0.0; n]);
-    Question { zones: names(n), classes, wants, room, open, before, stands }
+    AllocationInput {
+        zones: names(n),
+        classes,
+        demand: wants,
+        capacity: room,
+        open,
+        previously_allocated: before,
+        established: stands,
+    }
 }
 
-fn to(amounts: &Amounts, t: usize) -> f64 {
+fn to(amounts: &Allocation, t: usize) -> f64 {
     amounts.iter().flatten().map(|to| to[t]).sum()
 }
 
@@ -46,14 +55,14 @@
     fn no_room_is_passed_near_comes_first_and_worth_goes_before((wants, room, open) in zones()) {
         let mut q = question(wants, room, Vec::new());
         q.open = open.iter().map(|row| row.iter().map(|o| f64::from(u8::from(*o))).collect()).collect();
-        let amounts = share_out(&q, distance);
-        prop_assert_eq!(&share_out(&q, distance), &amounts);
+        let amounts = staged_allocation(&q, distance);
+        prop_assert_eq!(&staged_allocation(&q, distance), &amounts);
         for t in 0..4 {
-            prop_assert!(to(&amounts, t) <= q.room[t] + 1e-6);
-            let left = q.room[t] - to(&amounts, t);
+            prop_assert!(to(&amounts, t) <= q.capacity[t] + 1e-6);
+            let left = q.capacity[t] - to(&amounts, t);
             for f in 0..4 {
                 prop_assert!(open[f][t] || amounts[f].iter().all(|to| to[t] == 0.0));
-                let unserved: f64 = (0..2).map(|c| q.wants[f][c] - amounts[f][c].iter().sum::<f64>()).sum();
+                let unserved: f64 = (0..2).map(|c| q.demand[f][c] - amounts[f][c].iter().sum::<f64>()).sum();
                 prop_assert!(unserved < 1e-6 || !open[f][t] || left < 1e-6, "refused beside room");
                 // Nobody goes farther than to a zone that has room and is open.
                 let farther = (0..4).filter(|&u| distance(f, u) > distance(f, t)).any(|u| amounts[f].iter().any(|to| to[u] > 1e-6));
@@ -62,7 +71,7 @@
         }
         // Where the worthier class of a zone is refused the other one has nothing at a zone that both may go to.
         for f in 0..4 {
-            if q.wants[f][0] - amounts[f][0].iter().sum::<f64>() > 1e-6 {
+            if q.demand[f][0] - amounts[f][0].iter().sum::<f64>() > 1e-6 {
                 let low: f64 = (0..4).filter(|&t| open[f][t]).map(|t| (0..4).map(|g| amounts[g][1][t]).sum::<f64>()).sum();
                 prop_assert!(low < 1e-6, "{f}: {amounts:?}");
             }
@@ -73,8 +82,8 @@
     #[test]
     fn more_room_near_never_sends_more_away((wants, room, _) in zones(), z in 0usize..4, more in 1u32..40) {
         let wants: Vec<Vec<f64>> = wants.iter().map(|of| of.iter().map(|w| (w / 5.0).floor()).collect()).collect();
-        let ask = |room: &[f64]| share_out(&question(wants.clone(), room.to_vec(), Vec::new()), distance);
-        let away = |amounts: &Amounts| amounts[z].iter().map(|to| to.iter().sum::<f64>() - to[z]).sum::<f64>();
+        let ask = |room: &[f64]| staged_allocation(&question(wants.clone(), room.to_vec(), Vec::new()), distance);
+        let away = |amounts: &Allocation| amounts[z].iter().map(|to| to.iter().sum::<f64>() - to[z]).sum::<f64>();
         let mut larger = room.clone();
         larger[z] += f64::from(more);
         let (before, after) = (ask(&room), ask(&larger));
@@ -97,14 +106,14 @@
         let mut stand = [[0.0f64; 3]; 3];
         for open in ways {
             q.open = open.chunks(3).map(|row| row.iter().map(|open| f64::from(u8::from(*open))).collect()).collect();
-            let plan = share_out(&q, distance);
+            let plan = staged_allocation(&q, distance);
             for (f, t) in (0..3).flat_map(|f| (0..3).map(move |t| (f, t))) {
                 stand[f][t] = stand[f][t].max(plan[f][0][t]);
             }
-            q.stands = (0..3).map(|t| stand.iter().map(|from| from[t]).sum()).collect();
-            q.before = plan;
+            q.established = (0..3).map(|t| stand.iter().map(|from| from[t]).sum()).collect();
+            q.previously_allocated = plan;
             for t in 0..3 {
-                prop_assert!(q.stands[t] <= q.room[t] + 1e-9, "{} of {} at {t}: {stand:?}", q.stands[t], q.room[t]);
+                prop_assert!(q.established[t] <= q.capacity[t] + 1e-9, "{} of {} at {t}: {stand:?}", q.established[t], q.capacity[t]);
             }
         }
     }
@@ -123,14 +132,14 @@
         };
         three().flat_map(move |wants| three().map(move |room| (wants, room)))
     };
-    let ask = |wants: [f64; 3], room: [f64; 3], before: Amounts| {
+    let ask = |wants: [f64; 3], room: [f64; 3], before: Allocation| {
         question(wants.iter().map(|w| vec![*w]).collect(), room.to_vec(), before)
     };
     let mut mixtures = 0u64;
     for (wants, first) in all() {
-        let before = share_out(&ask(wants, first, Vec::new()), distance);
+        let before = staged_allocation(&ask(wants, first, Vec::new()), distance);
         for room in all().filter(|(w, _)| *w == wants).map(|(_, room)| room) {
-            let after = share_out(&ask(wants, room, before.clone()), distance);
+            let after = staged_allocation(&ask(wants, room, before.clone()), distance);
             for mixture in 0..8 {
                 mixtures += 1;
                 let on = |f: usize| if mixture >> f & 1 == 0 { &before[f] } else { &after[f] };
@@ -147,9 +156,9 @@
     assert!(mixtures > 100_000);
     // The search finds a planner that forgets the plan before.
     let found = all().any(|(wants, first)| {
-        let before = share_out(&ask(wants, first, Vec::new()), distance);
+        let before = staged_allocation(&ask(wants, first, Vec::new()), distance);
         all().filter(|(w, _)| *w == wants).any(|(_, room)| {
-            let forgets = share_out(&ask(wants, room, Vec::new()), distance);
+            let forgets = staged_allocation(&ask(wants, room, Vec::new()), distance);
             let on = |f: usize, mixture: usize| if mixture >> f & 1 == 0 { &before[f] } else { &forgets[f] };
             (0..8).any(|m| {
                 (0..3)
