Let steady traffic to a cold server only while its budget is not overdrawn

Lines at fault: src/brain.rs, cold_room(): the draw for steady traffic never looked at the tokens that spend() charges for every send, so what it let in beside a wave had no bound. Change: steady traffic passes only while tokens are not below zero.

--- a/lab/tests/lab.rs
+++ b/lab/tests/lab.rs
@@ -89,6 +89,15 @@
     }
 }
 
+/// Guards against steady traffic that is let in to a cold server whose budget other requests have overdrawn.
+#[test]
+fn steady_traffic_waits_while_the_budget_of_a_cold_server_is_overdrawn() {
+    for (name, seed) in [("drains", 35), ("drains", 78), ("mass-death", 149), ("typhoon", 296)] {
+        let (_, outcome) = counted(&bytes(name, seed));
+        assert!(outcome.breaks.is_empty(), "{name} seed {seed}: {:?}", outcome.first_breaks);
+    }
+}
+
 /// Guards against a fall that nobody answers for, or that is laid on balancers who could not know.
 #[test]
 fn a_cold_server_that_falls_is_laid_on_those_who_were_told_that_it_started() {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -965,16 +965,16 @@
 
     /// Rule four: guards a cold host against all sends of this node, refused and retried ones too. A first
     /// try of a client that comes for the first time is part of the steady traffic, of which a cold host can
-    /// take a known part: that is let in by the client's turn, since a node's own tokens would come too late.
-    /// Of what may come in waves (returning clients, further tries) a smaller part is let in; the rest needs
-    /// a token.
+    /// take a known part: that is let in by the client's turn, since a node's own tokens would come too late,
+    /// but not while the budget is overdrawn. Of what may come in waves (returning clients, further tries) a
+    /// smaller part is let in; the rest needs a token.
     fn cold_room(&self, now: Micros, id: HostId, host: &Host, c: &Call) -> bool {
         let warmth = self.warmth(now, host);
         let part = self.settings.rules.overload_factor * warmth * STEADY * self.steadiness(now);
         let wave = if c.returned || c.sends > 0 { warmth * (1.0 - self.sparse()) } else { 1.0 };
         let steady = draw(id, c.own) < part * wave;
-        let tokens = || self.cold_tokens(now, host, warmth) >= 1.0;
-        warmth >= 1.0 || steady || tokens() || self.cold_part(id, c, warmth)
+        let tokens = self.cold_tokens(now, host, warmth);
+        warmth >= 1.0 || steady && tokens >= 0.0 || tokens >= 1.0 || self.cold_part(id, c, warmth)
     }
 
     /// Where a token is made of many nodes' parts: by chance, what all may send there by its size since this
