Look at the lease again as an act is sent: a stopped holder acted after the next one

What callers saw: two processes acted on one task at once by their own logs. The holder that had been stopped sent and stamped its act when it was continued, seconds after the next holder's first; receivers refused it by its token.

Ruled out: the gate (no receiver carried a lower token out after a higher one), the leader's wait, the holder's answer that comes late. Lines at fault: src/group/task.rs read the clock, Member::turn decided, send() sent, and tell() stamped with a second reading; nothing looked at the lease in between.

Evidence: a failure point stops the process just there (feature `failpoints`, the laboratory's build alone).

Change: messages and events that were decided under a lease carry its task and token (src/group/outbox.rs). The clock is read for each as it leaves the queue; what the lease no longer allows is dropped and logged, and an act's line carries the very reading that allowed it. So a stamp lies within the lease; what is left between reading and system call is the fencing token's.

--- a/lab/src/cli/fleet.rs
+++ b/lab/src/cli/fleet.rs
@@ -1,7 +1,7 @@
 //! `oakdeal-lab fleet`.
 
 use super::{seeds, table};
-use crate::fleet::scenario::{find, ALL, ZONED};
+use crate::fleet::scenario::{find, ALL, FAILPOINTS, ZONED};
 use crate::fleet::{play, Verdict};
 use clap::{Args, Subcommand};
 use std::io::Write;
@@ -45,7 +45,7 @@
     pub fn run(self) -> Result<bool, String> {
         match self {
             Fleet::List => {
-                for (name, _) in ALL.iter().chain(&ZONED) {
+                for (name, _) in ALL.iter().chain(&FAILPOINTS).chain(&ZONED) {
                     println!("{name:18} {}", find(name)?.title);
                 }
                 Ok(true)
--- a/lab/src/fleet/mod.rs
+++ b/lab/src/fleet/mod.rs
@@ -241,8 +241,7 @@
 /// How long it took until another acted, for each fault that struck whoever acted.
 fn next(faults: &[Struck], acts: &[Act]) -> Vec<u64> {
     let own = || acts.iter().filter(|act| act.witness == act.holder);
-    let struck =
-        faults.iter().filter(|f| matches!(f.fault.kind, Kind::Kill | Kind::Stop | Kind::Cut | Kind::Mute));
+    let struck = faults.iter().filter(|f| f.fault.kind.silences());
     let took = struck.filter_map(|f| {
         let before = own().filter(|act| act.us <= f.us).max_by_key(|act| act.us)?;
         let after = own().filter(|act| act.us > f.us && act.token > before.token).map(|act| act.us).min()?;
@@ -325,6 +324,7 @@
             }
             Kind::Kill => fleet.kill(i),
             Kind::Stop => fleet.signal(i, "-STOP"),
+            Kind::StopBeforeAct => std::fs::write(fleet.stop_trigger(i), b"").map_err(told)?,
             Kind::Noise => fleet.ways(&[i], true, true, |way| {
                 way.lost.store(30, Relaxed);
                 way.late.store(200, Relaxed);
@@ -405,6 +405,12 @@
             }
             Kind::Kill if !fleet.runs(i) => fleet.run(i)?,
             Kind::Stop => fleet.signal(i, "-CONT"),
+            Kind::StopBeforeAct => {
+                fleet.signal(i, "-CONT");
+                if std::fs::remove_file(fleet.stop_trigger(i)).is_ok() {
+                    return Err(format!("n{i} did not reach its failure point: it did not act, or has none"));
+                }
+            }
             Kind::Noise => fleet.ways(&[i], true, true, |way| {
                 way.lost.store(0, Relaxed);
                 way.late.store(0, Relaxed);
--- a/lab/src/fleet/process.rs
+++ b/lab/src/fleet/process.rs
@@ -273,6 +273,7 @@
             .env("LB_ADMIN", "127.0.0.1:0")
             .env("OAKDEAL_OPERATOR", self.dir.join(format!("n{i}.toml")))
             .env("OAKDEAL_RIG_CLOCK_RATE", self.clocks[i].to_string())
+            .env("OAKDEAL_STOP_BEFORE_ACT", self.stop_trigger(i))
             .env(
                 "RUST_LOG",
                 std::env::var("OAKDEAL_RIG_LOG").unwrap_or("oakdeal=info,oakdeal::act=debug".into()),
@@ -306,6 +307,11 @@
         Ok(())
     }
 
+    /// The file that has one stop itself before its next act.
+    pub fn stop_trigger(&self, i: usize) -> PathBuf {
+        self.dir.join(format!("n{i}.stop-before-act"))
+    }
+
     /// How many there are.
     pub fn len(&self) -> usize {
         self.children.len()
--- a/lab/src/fleet/scenario.rs
+++ b/lab/src/fleet/scenario.rs
@@ -75,6 +75,8 @@
     Kill,
     /// Stopped and continued (SIGSTOP, SIGCONT).
     Stop,
+    /// Stopped between its decision to act under a lease and the act, and continued.
+    StopBeforeAct,
     /// Cut off both ways.
     Cut,
     /// It hears and is not heard.
@@ -124,9 +126,14 @@
         matches!(self, Kind::Lost | Kind::Old | Kind::Torn | Kind::Full)
     }
 
+    /// Whether nothing is heard any more of a process that it strikes.
+    pub fn silences(self) -> bool {
+        matches!(self, Kind::Kill | Kind::Stop | Kind::StopBeforeAct | Kind::Cut | Kind::Mute)
+    }
+
     /// Whether whoever it strikes takes no clients, or cannot serve them.
     pub fn out(self) -> bool {
-        self.folder() || matches!(self, Kind::Kill | Kind::Stop | Kind::Away)
+        self.folder() || matches!(self, Kind::Kill | Kind::Stop | Kind::StopBeforeAct | Kind::Away)
     }
 }
 
@@ -188,6 +195,10 @@
     ("random", include_str!("../../scenarios/group/random.toml")),
 ];
 
+/// Those that stop a process at one of its failure points: the program needs the feature `failpoints`.
+pub const FAILPOINTS: [(&str, &str); 1] =
+    [("holder-stopped-before-act", include_str!("../../scenarios/group/holder-stopped-before-act.toml"))];
+
 /// Those with zones.
 pub const ZONED: [(&str, &str); 8] = [
     ("zone-dead", include_str!("../../scenarios/zones/zone-dead.toml")),
@@ -202,7 +213,7 @@
 
 /// A named one, or a file.
 pub fn find(name: &str) -> Result<Scenario, String> {
-    let text = match ALL.iter().chain(&ZONED).find(|(known, _)| *known == name) {
+    let text = match ALL.iter().chain(&FAILPOINTS).chain(&ZONED).find(|(known, _)| *known == name) {
         Some((_, text)) => (*text).to_string(),
         None => std::fs::read_to_string(Path::new(name)).map_err(|e| format!("{name}: {e}"))?,
     };
--- a/lab/tests/fleet.rs
+++ b/lab/tests/fleet.rs
@@ -59,3 +59,11 @@
 fn a_region_that_fails_fills_the_last_zone_to_its_room_and_no_further() {
     played(&["region-dead"], 1).iter().for_each(|wrong| assert_eq!(*wrong, Vec::<String>::new()));
 }
+
+/// A holder that is stopped between its decision to act and the act, for three spans of its lease. docs/incidents/007.
+#[test]
+fn a_holder_stopped_between_decision_and_act_does_not_act_late() {
+    played(&["holder-stopped-before-act"], 1)
+        .iter()
+        .for_each(|wrong| assert_eq!(*wrong, Vec::<String>::new()));
+}
--- a/src/group/duties.rs
+++ b/src/group/duties.rs
@@ -41,7 +41,7 @@
         let Some(token) = self.acts(now, ACCOUNT) else { return };
         let members: Vec<String> = self.peers.members().into_iter().map(|m| m.name).collect();
         let page = self.book.page(now, page, token, &members, self.duties.account);
-        self.events.push(Event::Page(page));
+        self.report_under(ACCOUNT, token, Event::Page(page));
     }
 
     pub(super) fn page(&mut self, now: Micros) {
@@ -65,11 +65,10 @@
 
     /// A digest came.
     pub(super) fn seen(&mut self, now: Micros, digest: Digest) {
-        let acts = self.acts(now, FAILOVER).is_some();
-        if let Some(planner) = self.planner.as_mut().filter(|_| acts) {
-            self.events.push(Event::Seen(digest.clone()));
-            planner.take(now, digest);
-        }
+        let Some(token) = self.acts(now, FAILOVER) else { return };
+        let Some(planner) = &mut self.planner else { return };
+        planner.take(now, digest.clone());
+        self.report_under(FAILOVER, token, Event::Seen(digest));
     }
 
     /// Makes the plan, where that is its task.
@@ -84,7 +83,7 @@
             let (serial, renewed) = (plan.serial, plan.renewed);
             tracing::debug!(target: PROPOSALS, serial, renewed, to = self.asks(), "a plan is proposed");
             if old.as_ref().is_none_or(|old| old.serial != plan.serial) {
-                self.events.push(Event::Planned(plan.clone()));
+                self.report_under(FAILOVER, token, Event::Planned(plan.clone()));
             }
             self.wish(Wish::Change(Command::Plan { task: FAILOVER.into(), token, plan }), None);
         }
--- a/src/group/member.rs
+++ b/src/group/member.rs
@@ -1,11 +1,12 @@
 //! One process in the group: its membership, its vote where it has one, and the tasks that it wants. No I/O.
 //!
-//! Promised: a task's act is begun only under a lease that is its own by its own clock; what it knows of the record is never
-//! older than what it knew before. A datagram that cannot be read is counted and changes nothing.
+//! Promised: a task's act is begun only under a lease that is its own by its own clock, both when the act is decided and when it
+//! leaves the [`Outbox`]; what it knows of the record is never older than what it knew before. A datagram that cannot be read is counted and changes nothing.
 
 use super::account::{Book, Page};
 use super::folder::Keep;
 use super::lease::{Gate, Holder, Terms};
+use super::outbox::{LeaseToken, Outbox};
 use super::record::{Outcome, State};
 use super::voter::{Said, Voter};
 use super::words::{Act, Answer, Parts, Question, Reply, Wish, Words};
@@ -13,7 +14,7 @@
 use crate::failover::evidence::Digest;
 use crate::failover::plan::{Plan, Planner};
 use crate::peers::seal::{ADDED, LONGEST};
-use crate::peers::{Note, Peers};
+use crate::peers::{self, Note, Peers};
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
 use std::net::SocketAddr;
@@ -97,8 +98,8 @@
     pub(super) paged: Micros,
     /// Makes plans for zones, where this process can.
     pub(super) planner: Option<Planner>,
-    out: Vec<(SocketAddr, Vec<u8>)>,
-    pub(super) events: Vec<Event>,
+    messages: Outbox<(SocketAddr, Vec<u8>)>,
+    events: Outbox<Event>,
     /// Datagrams that could not be read.
     pub junk: u64,
 }
@@ -138,8 +139,8 @@
             book: Book::default(),
             paged: now,
             planner: None,
-            out: Vec::new(),
-            events: Vec::new(),
+            messages: Outbox::default(),
+            events: Outbox::default(),
             junk: 0,
             peers,
         }
@@ -179,7 +180,7 @@
             Some(Words::Answer(answer)) => self.answer(now, answer),
             Some(Words::Act(act)) => {
                 let passes = self.gate.passes(&act.task, act.token);
-                self.events.push(Event::Act(act, passes));
+                self.report(Event::Act(act, passes));
             }
             Some(Words::Report(report)) => self.book.take(now, report),
             Some(Words::Digest(digest)) => self.seen(now, digest),
@@ -267,23 +268,40 @@
 
     fn gossip(&mut self) {
         let (from, version) = (self.peers.me().name.clone(), self.record().version);
-        let sends = self.peers.sends().into_iter();
-        let words = |bytes| Words::Gossip { from: from.clone(), version, bytes };
-        self.out.extend(sends.map(|(to, bytes)| (to, words(bytes).write())));
+        for (to, bytes) in self.peers.sends() {
+            let words = Words::Gossip { from: from.clone(), version, bytes };
+            self.messages.push(None, (to, words.write()));
+        }
     }
 
     pub(super) fn say(&mut self, to: &str, words: &Words) {
+        self.send(None, to, words);
+    }
+
+    /// Queues a message; with a lease it is sent only while the lease lasts.
+    fn send(&mut self, lease: Option<&LeaseToken>, to: &str, words: &Words) {
         let Some(at) = self.peers.address(to) else { return };
         let bytes = words.write();
         if bytes.len() <= ONE {
-            return self.out.push((at, bytes));
+            return self.messages.push(lease.cloned(), (at, bytes));
         }
         self.marks = self.marks.wrapping_add(1);
-        let parts = Parts::cut(self.marks, &bytes, PIECE);
-        if parts.is_none() {
-            tracing::error!("group: {} bytes are too long for so many datagrams", bytes.len());
+        let Some(parts) = Parts::cut(self.marks, &bytes, PIECE) else {
+            return tracing::error!("group: {} bytes are too long for so many datagrams", bytes.len());
+        };
+        for part in parts {
+            self.messages.push(lease.cloned(), (at, part.write()));
         }
-        self.out.extend(parts.into_iter().flatten().map(|part| (at, part.write())));
+    }
+
+    /// Queues an event that needs no lease.
+    fn report(&mut self, event: Event) {
+        self.events.push(None, event);
+    }
+
+    /// Queues an event that is carried out only while the grant lasts under which it was decided.
+    pub(super) fn report_under(&mut self, task: &str, token: u64, event: Event) {
+        self.events.push(Some(LeaseToken { task: task.into(), token }), event);
     }
 
     /// Who is asked for a change. A voter knows who leads; only the leader can change the record, so a voter that asks anyone else
@@ -326,7 +344,7 @@
     pub fn turn(&mut self, now: Micros) {
         self.peers.turn(now);
         let notes = self.peers.notes();
-        self.events.extend(notes.into_iter().map(Event::Peer));
+        notes.into_iter().for_each(|note| self.report(Event::Peer(note)));
         self.gossip();
         self.vote(now);
         self.take_own_answers(now);
@@ -347,7 +365,7 @@
     fn vote(&mut self, now: Micros) {
         if self.voter.as_ref().is_some_and(|voter| voter.replaced(&self.heard)) {
             self.voter = None;
-            self.events.push(Event::Silenced("another has its place in the record".into()));
+            self.report(Event::Silenced("another has its place in the record".into()));
         }
         // Answers to itself may let the voter say more.
         for _ in 0..2 {
@@ -367,7 +385,7 @@
                 Err(e) => {
                     self.heard = voter.state().clone();
                     self.voter = None;
-                    self.events.push(Event::Silenced(e));
+                    self.report(Event::Silenced(e));
                 }
             }
         }
@@ -392,12 +410,12 @@
         let was = self.acting.get(task).copied();
         if let Some((token, _, _)) = was.filter(|was| may != Some(was.0)) {
             self.acting.remove(task);
-            self.events.push(Event::Let(task.into(), token));
+            self.report(Event::Let(task.into(), token));
         }
         let Some(token) = may else { return };
         if was.is_none_or(|was| was.0 != token) {
             self.acting.insert(task.into(), (token, now, 0));
-            self.events.push(Event::Taken(task.into(), token));
+            self.report(Event::Taken(task.into(), token));
         }
         let Some(acting) = self.acting.get_mut(task) else { return };
         if now >= acting.1 + self.duties.turn {
@@ -406,15 +424,19 @@
         let members = self.peers.members();
         if now >= acting.2 + ACTS * members.len().div_ceil(MANY) as Micros {
             acting.2 = now;
-            let act = Act { task: task.into(), token, holder: self.peers.me().name.clone() };
-            for member in members {
-                if member.name != act.holder {
-                    self.say(&member.name, &Words::Act(act.clone()));
-                }
-            }
-            let passes = self.gate.passes(task, token);
-            self.events.push(Event::Act(act, passes));
+            self.act(task, token, &members);
+        }
+    }
+
+    /// Acts on a task: tells all other members, and itself.
+    fn act(&mut self, task: &str, token: u64, members: &[peers::Member]) {
+        let act = Act { task: task.into(), token, holder: self.peers.me().name.clone() };
+        let lease = LeaseToken { task: task.into(), token };
+        for member in members.iter().filter(|member| member.name != act.holder) {
+            self.send(Some(&lease), &member.name, &Words::Act(act.clone()));
         }
+        let passes = self.gate.passes(task, token);
+        self.events.push(Some(lease), Event::Act(act, passes));
     }
 
     /// Stops acting on a task, and lets another have it.
@@ -424,7 +446,7 @@
             self.wish(Wish::Change(command), Some(Asked::Lease(task.into(), id)));
         }
         if let Some((token, _, _)) = self.acting.remove(task) {
-            self.events.push(Event::Let(task.into(), token));
+            self.report(Event::Let(task.into(), token));
         }
     }
 
@@ -451,14 +473,33 @@
         self.gossip();
     }
 
-    /// What is to be sent, and where.
-    pub fn sends(&mut self) -> Vec<(SocketAddr, Vec<u8>)> {
-        std::mem::take(&mut self.out)
+    /// The next message to be sent, and where to. `now` is read anew for each: an act whose lease has ended since it was decided
+    /// is dropped.
+    pub fn next_message(&mut self, now: Micros) -> Option<(SocketAddr, Vec<u8>)> {
+        let mut messages = std::mem::take(&mut self.messages);
+        let message = messages.pop(|lease| self.allows(now, lease));
+        self.messages = messages;
+        message
+    }
+
+    /// The next event to be carried out. `now` is read anew for each, and is the event's time: what was decided under a lease that
+    /// has ended since is dropped.
+    pub fn next_event(&mut self, now: Micros) -> Option<Event> {
+        let mut events = std::mem::take(&mut self.events);
+        let event = events.pop(|lease| self.allows(now, lease));
+        self.events = events;
+        event
+    }
+
+    /// Whether an act under this grant may begin now.
+    fn allows(&self, now: Micros, lease: &LeaseToken) -> bool {
+        self.acts(now, &lease.task) == Some(lease.token)
     }
 
-    /// What happened.
-    pub fn events(&mut self) -> Vec<Event> {
-        std::mem::take(&mut self.events)
+    /// Whether something is decided under a lease and not yet done.
+    #[cfg(feature = "failpoints")]
+    pub fn has_undone_acts(&self) -> bool {
+        self.messages.holds_lease_entries()
     }
 
     /// All that an operator wants to see, a line each.
--- a/src/group/member_tests.rs
+++ b/src/group/member_tests.rs
@@ -65,16 +65,21 @@
             for i in 0..self.all.len() {
                 self.all[i].turn(self.now);
                 // What is said is heard at once, and answered.
-                let mut said: Vec<(SocketAddr, Vec<u8>)> = self.all[i].sends();
+                let now = self.now;
+                let sends = |member: &mut Member<Nowhere>| {
+                    std::iter::from_fn(|| member.next_message(now)).collect::<Vec<_>>()
+                };
+                let mut said = sends(&mut self.all[i]);
                 while let Some((to, words)) = said.pop() {
                     let j = usize::from(to.port() - 10_000);
                     assert!(words.len() <= ONE, "{} bytes", words.len());
                     self.bytes[j].0 += (words.len() + ADDED) as u64;
                     self.bytes[j].1 += 1;
                     self.all[j].read(self.now, &words);
-                    said.extend(self.all[j].sends());
+                    said.extend(sends(&mut self.all[j]));
                 }
-                self.events.extend(self.all[i].events().into_iter().map(|event| (i, event)));
+                let events = std::iter::from_fn(|| self.all[i].next_event(now));
+                self.events.extend(events.map(|event| (i, event)));
             }
         }
     }
@@ -172,3 +177,40 @@
     assert_eq!((last.rows.len(), &last.missing[..]), (500, &[][..]));
     assert!(last.rows.iter().all(|(_, _, row)| row.asked + 3 >= 39), "{:?}", last.rows[0]);
 }
+
+/// A process that is stopped between its decision to act and the act, for longer than its lease lasts: docs/incidents/007.
+#[test]
+fn an_act_whose_lease_ended_between_decision_and_send_is_neither_sent_nor_stamped() {
+    let mut net = Net::new(3, 3);
+    net.run(10 * SECOND);
+    let holder = (0..3).find(|&i| net.all[i].acts(net.now, "rebalance").is_some()).unwrap();
+    let member = &mut net.all[holder];
+    let decided = net.now + 200_000;
+    member.turn(decided);
+    assert!(member.acts(decided, "rebalance").is_some(), "the decision was made under the lease");
+
+    let continued = decided + TERMS.span;
+    let sent: Vec<_> = std::iter::from_fn(|| member.next_message(continued)).collect();
+    let acts = sent.iter().filter(|(_, bytes)| matches!(Words::read(bytes), Some(Words::Act(_))));
+    assert_eq!(acts.count(), 0, "acts that were sent after the lease had ended");
+    assert!(!sent.is_empty(), "what needs no lease is sent");
+    let stamped: Vec<_> = std::iter::from_fn(|| member.next_event(continued)).collect();
+    let done = |event: &&Event| matches!(event, Event::Act(..) | Event::Page(_));
+    assert_eq!(stamped.iter().find(done), None);
+}
+
+/// The same reading of the clock as in the decision: the act is done.
+#[test]
+fn an_act_is_sent_to_each_member_and_stamped_while_its_lease_lasts() {
+    let mut net = Net::new(3, 3);
+    net.run(10 * SECOND);
+    let holder = (0..3).find(|&i| net.all[i].acts(net.now, "rebalance").is_some()).unwrap();
+    let (member, now) = (&mut net.all[holder], net.now + 200_000);
+    member.turn(now);
+    let is_act =
+        |bytes: &[u8]| matches!(Words::read(bytes), Some(Words::Act(act)) if act.task == "rebalance");
+    let sent = std::iter::from_fn(|| member.next_message(now)).filter(|(_, bytes)| is_act(bytes));
+    assert_eq!(sent.count(), 2);
+    let own = |event: &Event| matches!(event, Event::Act(act, true) if act.task == "rebalance");
+    assert_eq!(std::iter::from_fn(|| member.next_event(now)).filter(own).count(), 1);
+}
--- a/src/group/mod.rs
+++ b/src/group/mod.rs
@@ -7,9 +7,12 @@
 
 pub mod account;
 mod duties;
+#[cfg(feature = "failpoints")]
+mod failpoint;
 pub mod folder;
 pub mod lease;
 pub mod member;
+pub mod outbox;
 pub mod record;
 pub mod task;
 pub mod voter;
--- a/src/group/task.rs
+++ b/src/group/task.rs
@@ -1,6 +1,8 @@
 //! The group's socket: datagrams under the key, the clock that goes on while the machine sleeps, and what a lease is for
 //! here. Decides nothing: [`super::member`] does.
 
+#[cfg(feature = "failpoints")]
+use super::failpoint::StopBeforeAct;
 use super::folder::Folder;
 use super::lease;
 use super::member::{Duties, Event, Member};
@@ -87,6 +89,14 @@
     rate: f64,
 }
 
+/// One reading of the clock, in microseconds.
+struct Reading {
+    /// The machine's time, as it is logged.
+    boottime: Micros,
+    /// The same moment by this process's clock, which leases count by.
+    now: Micros,
+}
+
 fn boottime() -> Micros {
     let at = clock_gettime(ClockId::Boottime);
     at.tv_sec as u64 * 1_000_000 + at.tv_nsec as u64 / 1_000
@@ -98,8 +108,14 @@
         Clock { begun: boottime(), rate }
     }
 
+    fn read(&self) -> Reading {
+        let boottime = boottime();
+        let now = self.begun + ((boottime - self.begun) as f64 * self.rate) as Micros;
+        Reading { boottime, now }
+    }
+
     fn now(&self) -> Micros {
-        self.begun + ((boottime() - self.begun) as f64 * self.rate) as Micros
+        self.read().now
     }
 }
 
@@ -113,6 +129,8 @@
     clock: Clock,
     orders: UnboundedReceiver<Order>,
     board: Rc<Board>,
+    #[cfg(feature = "failpoints")]
+    stop_before_act: StopBeforeAct,
     /// How often it tells what it sees of the zones, where the fleet has a plan for them.
     tells: Option<Micros>,
 }
@@ -171,8 +189,18 @@
         let board = Rc::new(Board { text: RefCell::default(), zones: RefCell::default(), orders });
         tracing::info!("{name} is in the group at {}", settings.listen);
         let kept = kept_notify;
-        let group =
-            Group { member, kept, socket, seal, clock, orders: heard, board: board.clone(), tells: None };
+        let group = Group {
+            member,
+            kept,
+            socket,
+            seal,
+            clock,
+            orders: heard,
+            board: board.clone(),
+            #[cfg(feature = "failpoints")]
+            stop_before_act: StopBeforeAct::from_env(),
+            tells: None,
+        };
         Ok((group, board))
     }
 
@@ -247,6 +275,10 @@
                 self.member.see(now, digest);
             }
             self.member.turn(now);
+            #[cfg(feature = "failpoints")]
+            if self.member.has_undone_acts() {
+                self.stop_before_act.reached();
+            }
             self.send();
             self.tell(&broker);
             if self.tells.is_some() {
@@ -265,7 +297,7 @@
     }
 
     fn send(&mut self) {
-        for (to, words) in self.member.sends() {
+        while let Some((to, words)) = self.member.next_message(self.clock.now()) {
             if let Some(datagram) = self.seal.seal(&words) {
                 // What finds no room is lost like any other datagram.
                 let _ = self.socket.try_send_to(&datagram, to);
@@ -276,43 +308,45 @@
     }
 
     fn tell(&mut self, broker: &Broker) {
-        for event in self.member.events() {
-            let us = boottime();
-            match event {
-                Event::Peer(peers::Note::Up(name)) => tracing::info!("group: {name} is there"),
-                Event::Peer(peers::Note::Down(name)) => tracing::info!("group: {name} is gone"),
-                Event::Taken(task, token) => tracing::info!(us, "group: {task} is ours under token {token}"),
-                Event::Let(task, token) => {
-                    tracing::info!(us, "group: {task} is no longer ours under token {token}")
-                }
-                Event::Act(act, passes) => {
-                    let (task, token, holder) = (act.task, act.token, act.holder);
-                    tracing::debug!(target: "oakdeal::act", task, holder, token, us, passes, "act");
-                    if !passes {
-                        tracing::warn!(
-                            "group: an act of {holder} on {task} came late, under token {token}: refused"
-                        );
-                    }
-                }
-                Event::Silenced(e) => tracing::error!("group: votes no more: {e}"),
-                Event::Seen(digest) => {
-                    let digest = serde_json::to_string(&digest).unwrap_or_default();
-                    tracing::debug!(target: EVIDENCE, us, digest, "seen");
-                }
-                Event::Planned(plan) => {
-                    for (name, zone) in &plan.zones {
-                        let (state, why, serial) = (zone.state.name(), &zone.why, plan.serial);
-                        tracing::info!(serial, zone = name, state, why, "zones: planned");
-                    }
-                }
-                Event::Page(page) => {
-                    let (number, token, missing) = (page.page, page.token, page.missing.join(" "));
-                    page.rows.iter().for_each(|(name, started, row)| logging::account(name, *started, row));
-                    let rows = page.rows.len();
-                    tracing::info!(target: "oakdeal::page", page = number, token, rows, missing, us, "page of the account");
-                }
-            }
+        loop {
+            let Reading { boottime, now } = self.clock.read();
+            let Some(event) = self.member.next_event(now) else { break };
+            log_event(event, boottime);
         }
         broker.wave(self.member.acts(self.clock.now(), REBALANCE).is_some());
     }
 }
+
+/// Logs an event; `us` is the reading of the clock by which it was allowed, in microseconds.
+fn log_event(event: Event, us: Micros) {
+    match event {
+        Event::Peer(peers::Note::Up(name)) => tracing::info!("group: {name} is there"),
+        Event::Peer(peers::Note::Down(name)) => tracing::info!("group: {name} is gone"),
+        Event::Taken(task, token) => tracing::info!(us, "group: {task} is ours under token {token}"),
+        Event::Let(task, token) => tracing::info!(us, "group: {task} is no longer ours under token {token}"),
+        Event::Act(act, passes) => {
+            let (task, token, holder) = (act.task, act.token, act.holder);
+            tracing::debug!(target: "oakdeal::act", task, holder, token, us, passes, "act");
+            if !passes {
+                tracing::warn!("group: an act of {holder} on {task} came late, under token {token}: refused");
+            }
+        }
+        Event::Silenced(e) => tracing::error!("group: votes no more: {e}"),
+        Event::Seen(digest) => {
+            let digest = serde_json::to_string(&digest).unwrap_or_default();
+            tracing::debug!(target: EVIDENCE, us, digest, "seen");
+        }
+        Event::Planned(plan) => {
+            for (name, zone) in &plan.zones {
+                let (state, why, serial) = (zone.state.name(), &zone.why, plan.serial);
+                tracing::info!(serial, zone = name, state, why, "zones: planned");
+            }
+        }
+        Event::Page(page) => {
+            let (number, token, missing) = (page.page, page.token, page.missing.join(" "));
+            page.rows.iter().for_each(|(name, started, row)| logging::account(name, *started, row));
+            let rows = page.rows.len();
+            tracing::info!(target: "oakdeal::page", page = number, token, rows, missing, us, "page of the account");
+        }
+    }
+}
