Let a balancer move connections home until its lease ends, not until its group task says so

What callers could see: two balancers moved connections home at once, so more clients than the operator's rate were asked to come again.

Cause: src/group/task.rs told the broker in each turn whether the lease on `rebalance` was held, and the broker kept a flag. After a stop the broker's timer may run before the group's turn, and moves connections under the last answer; a move carries no token.

Change: the broker is given the time of the lease's end and compares it at each step. The broker's clock is read before the lease's, so a stop between the readings shortens the permission.

--- a/src/broker/core.rs
+++ b/src/broker/core.rs
@@ -67,6 +67,21 @@
     }
 }
 
+/// The first moment at which this balancer may no longer rebalance.
+struct RebalanceUntil(Micros);
+
+impl Default for RebalanceUntil {
+    fn default() -> RebalanceUntil {
+        RebalanceUntil(Micros::MAX)
+    }
+}
+
+impl RebalanceUntil {
+    fn allows(&self, now: Micros) -> bool {
+        now < self.0
+    }
+}
+
 /// The decisions of one balancer.
 #[derive(Default)]
 pub struct Core {
@@ -75,8 +90,8 @@
     contracts: Option<Contracts>,
     /// Slow rebalancing; none where the operator wants none.
     rebalance: Option<Rebalance>,
-    /// In a group, another balancer's wave may be under way: this one moves nobody home meanwhile.
-    rests: bool,
+    /// Until when this balancer may rebalance: in a group, for as long as its lease lasts; for ever without one.
+    rebalance_until: RebalanceUntil,
     frame: Frame,
     /// The platform's own tenants, by name; the teams come behind them, by their number.
     projects: Vec<String>,
@@ -359,8 +374,8 @@
     /// When [`Core::turn`] is to be called next, if nothing happens before.
     pub fn due(&mut self, now: Micros) -> Option<Micros> {
         let contracts = self.contracts.as_mut().and_then(|contracts| contracts.due(now));
-        let waves = self.rebalance.as_ref().filter(|_| !self.rests);
-        contracts.into_iter().chain(waves.map(|r| r.due(now))).min()
+        let rebalance = self.rebalance.as_ref().filter(|_| self.rebalance_until.allows(now));
+        contracts.into_iter().chain(rebalance.map(|r| r.due(now))).min()
     }
 
     /// Does what is due without an event.
@@ -369,7 +384,7 @@
             actions.extend(contracts.turn(now).into_iter().map(|call| Action::Move { call }));
         }
         // One cause of moves at a time: what contracts want comes first.
-        if let Some(rebalance) = self.rebalance.as_mut().filter(|_| !self.rests) {
+        if let Some(rebalance) = self.rebalance.as_mut().filter(|_| self.rebalance_until.allows(now)) {
             if !actions.is_empty() {
                 rebalance.trouble(now, "contracts move connections");
             }
@@ -414,9 +429,9 @@
         Some((zones.digest(now, classes), zones.probes(now)))
     }
 
-    /// In a group: whether it is this balancer's turn to move connections home.
-    pub fn wave(&mut self, ours: bool) {
-        self.rests = !ours;
+    /// In a group: this balancer may rebalance before that time, and not from then on unless it is told again.
+    pub fn may_rebalance_until(&mut self, until: Micros) {
+        self.rebalance_until = RebalanceUntil(until);
     }
 
     /// Moves are made for another cause: rebalancing rests.
--- a/src/broker/core_tests.rs
+++ b/src/broker/core_tests.rs
@@ -134,3 +134,35 @@
     assert!(new.admit(S, &mut back, Some("south")).is_ok());
     assert_eq!(back.hint, Some(5_000.0));
 }
+
+/// A core whose clients all stand away from home: their home started again and is warm, at 500 s.
+fn core_with_strays() -> Core {
+    let mut core = core(3, &[]);
+    core.rebalance(S, Some(crate::rebalance::Terms { rate: 1_000.0, ..Default::default() }));
+    let entry = |host, state, ready_at| Entry { state, ready_at, ..Entry::ready(host) };
+    let list = |state, ready_at| Event::Members {
+        kind: ListKind::Full,
+        hosts: vec![entry(1, state, ready_at), Entry::ready(2), Entry::ready(3)],
+    };
+    core.tell(2 * S, list(HostState::Draining, 0), &mut Vec::new());
+    (0..60).for_each(|i| assert!(ask(&mut core, 3 * S, &format!("c{i}"), &format!("k{i}"), false)));
+    core.tell(100 * S, list(HostState::Ready, 90 * S), &mut Vec::new());
+    core
+}
+
+/// A process whose group task does not come to say that the lease is over, as after SIGSTOP: docs/incidents/008.
+#[test]
+fn nobody_is_moved_home_from_the_moment_on_at_which_the_lease_ends() {
+    let moves = |until: Option<Micros>| {
+        let (mut core, mut actions) = (core_with_strays(), Vec::new());
+        until.into_iter().for_each(|until| core.may_rebalance_until(until));
+        core.turn(500 * S, &mut actions);
+        actions.len()
+    };
+    assert!(moves(None) > 0, "without a group there is no lease to wait for");
+    assert!(moves(Some(500 * S + 1)) > 0, "the lease lasts");
+    assert_eq!(moves(Some(500 * S)), 0, "the lease has ended and nobody has said so yet");
+    let mut core = core_with_strays();
+    core.may_rebalance_until(500 * S);
+    assert_eq!(core.due(500 * S), None);
+}
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -432,10 +432,11 @@
         Some(digest)
     }
 
-    /// In a group: whether it is this balancer's turn to move connections home.
-    pub fn wave(&self, ours: bool) {
+    /// In a group: until when, by [`Broker::now`], this balancer may move connections home. From then on it moves none, whoever is
+    /// late to say so.
+    pub fn may_rebalance_until(&self, until: Micros) {
         let state = &mut *self.state.borrow_mut();
-        state.core.wave(ours);
+        state.core.may_rebalance_until(until);
         self.look(state);
     }
 
--- a/src/group/member.rs
+++ b/src/group/member.rs
@@ -164,6 +164,14 @@
         self.holders.get(task)?.acts(now).filter(|token| self.acting.get(task).is_some_and(|a| a.0 == *token))
     }
 
+    /// For how long acts on this task may still begin, in microseconds; 0 where none may.
+    pub fn lease_left(&self, now: Micros, task: &str) -> Micros {
+        match self.acts(now, task) {
+            Some(_) => self.holders.get(task).map_or(0, |holder| holder.left(now)),
+            None => 0,
+        }
+    }
+
     /// A datagram's words.
     pub fn read(&mut self, now: Micros, words: &[u8]) {
         match Words::read(words) {
--- a/src/group/task.rs
+++ b/src/group/task.rs
@@ -313,7 +313,15 @@
             let Some(event) = self.member.next_event(now) else { break };
             log_event(event, boottime);
         }
-        broker.wave(self.member.acts(self.clock.now(), REBALANCE).is_some());
+        self.extend_rebalancing(broker);
+    }
+
+    /// Has the broker rebalance for as long as the lease lasts, by the broker's clock. That clock is read first: what passes between
+    /// the two readings shortens the time and never lengthens it.
+    fn extend_rebalancing(&self, broker: &Broker) {
+        let broker_now = broker.now();
+        let left = self.member.lease_left(self.clock.now(), REBALANCE);
+        broker.may_rebalance_until(broker_now.saturating_add(left));
     }
 }
 
