Have few balancers save nothing for a cold server, and weigh what they let in there by load

Cause: cold_tokens capped a balancer's budget at one whole connection at least, where its part of what the server bears in its fall time is a tenth of one. Six balancers held six in hand where it bears three, and spent them in the same second.

Change, for at most 8 balancers (SPREAD): no more is saved than the own part; the budget at a server that starts begins with a debt by chance; connections are let in by the time since the arrival before them, as large fleets had it, by load, and never while overdrawn.

--- a/lab/tests/lab.rs
+++ b/lab/tests/lab.rs
@@ -98,6 +98,16 @@
     }
 }
 
+/// Several balancers that each save up a connection for a cold server and send it in the same second. docs/incidents/009.
+#[test]
+fn few_balancers_do_not_spend_together_what_each_has_saved_for_a_cold_server() {
+    let days = [78, 112, 140, 142, 193, 213, 265, 276].map(|seed| ("cold-server", seed));
+    for (name, seed) in days.into_iter().chain([("mass-death", 50)]) {
+        let (_, outcome) = counted(&bytes(name, seed));
+        assert!(outcome.breaks.is_empty(), "{name} seed {seed}: {:?}", outcome.first_breaks);
+    }
+}
+
 /// Guards against a fall that nobody answers for, or that is laid on balancers who could not know.
 #[test]
 fn a_cold_server_that_falls_is_laid_on_those_who_were_told_that_it_started() {
--- a/src/brain.rs
+++ b/src/brain.rs
@@ -22,9 +22,9 @@
 const HEADROOM: f64 = 1.75;
 /// Part of the steady traffic on its arcs that a cold host is let in, times `overload_factor` and its warmth.
 const STEADY: f64 = 0.35;
-/// Part of a cold host's allowance that nodes which see little use together; over 1, for the rule allows for
-/// chance besides. And the assumed life of a connection, in microseconds.
-const SAFE: f64 = 1.4;
+/// Part of a cold host's allowance that nodes which see little use together, and that few nodes use; over 1,
+/// for the rule allows for chance besides. And the assumed life of a connection, in microseconds.
+const SAFE: (f64, f64) = (1.4, 1.6);
 const LIFE: f64 = 60e6;
 /// Part of the sizes of all hosts up to which nodes that see little let clients in; for sizes in cores.
 const FULL: f64 = 0.2;
@@ -149,7 +149,7 @@
 }
 
 impl Host {
-    /// `turn`: the token's part in hand, from 0 to 1 (see `cold_tokens`).
+    /// `turn`: the budget in hand where it is cold (see `cold_turn`).
     fn new(entry: Entry, now: Micros, turn: f64) -> Host {
         Host {
             entry,
@@ -412,7 +412,7 @@
             left.into_iter().for_each(|host| self.dropped(now, host));
         }
         for mut entry in entries {
-            let turn = self.chance();
+            let turn = self.cold_turn();
             if entry.state == HostState::Gone {
                 self.dropped(now, entry.host);
                 continue;
@@ -858,7 +858,11 @@
 
     /// This node is one of many and sees little: it must do alone what is right if all do it.
     fn little(&self) -> bool {
-        self.settings.peers_total > SPREAD.1 && self.sparse() > LITTLE
+        self.many() && self.sparse() > LITTLE
+    }
+
+    fn many(&self) -> bool {
+        self.settings.peers_total > SPREAD.1
     }
 
     /// An attempt failed there. Guards against hosts that are silent, fail fast or break what they are sent.
@@ -952,43 +956,50 @@
     }
 
     /// Cold budget in hand at a host: how many mean connections it may be sent now, and how fast that grows.
-    /// This node's even share of its own arrivals stands for its part of a host's capacity. A node's part may
-    /// be far under one connection: it starts with a token's part by chance, so that the first sends of
-    /// hundreds of nodes are far apart, and nobody sends on less than a whole one.
+    /// This node's even share of its own arrivals stands for its part of a host's capacity, which may be far
+    /// under one connection. One of many nodes saves up a whole one: it seldom meets the host. Few nodes meet
+    /// it all the time, and would spend what each had saved together: they save no more than their part.
     fn cold_tokens(&self, now: Micros, host: &Host, warmth: f64) -> f64 {
         let rules = &self.settings.rules;
         let even = self.steady_rate(now) / self.hosts.len().max(1) as f64;
         let pace = rules.overload_factor * warmth * even * HEADROOM;
-        let most = (pace * rules.fall_time as f64 / 2.0).max(1.0);
+        let most = (pace * rules.fall_time as f64 / 2.0).max(if self.many() { 1.0 } else { 0.0 });
         (host.tokens.0 + pace * now.saturating_sub(host.tokens.1) as f64).min(most)
     }
 
-    /// Rule four: guards a cold host against all sends of this node, refused and retried ones too. A first
-    /// try of a client that comes for the first time is part of the steady traffic, of which a cold host can
-    /// take a known part: that is let in by the client's turn, since a node's own tokens would come too late,
-    /// but not while the budget is overdrawn. Of what may come in waves (returning clients, further tries) a
-    /// smaller part is let in; the rest needs a token.
+    /// The budget at a host that starts, by chance: the first sends of all nodes are then far apart.
+    fn cold_turn(&mut self) -> f64 {
+        self.chance() - if self.many() { 0.0 } else { 1.0 }
+    }
+
+    /// Rule four: guards a cold host against all sends of this node, refused and retried ones too. Of first
+    /// tries of new clients, the steady traffic, it takes a known part: that is let in by the client's turn,
+    /// for tokens would come too late, but not while the budget is overdrawn. Of what may come in waves
+    /// (returning clients, further tries) a smaller part is; the rest needs a token or chance.
     fn cold_room(&self, now: Micros, id: HostId, host: &Host, c: &Call) -> bool {
         let warmth = self.warmth(now, host);
         let part = self.settings.rules.overload_factor * warmth * STEADY * self.steadiness(now);
         let wave = if c.returned || c.sends > 0 { warmth * (1.0 - self.sparse()) } else { 1.0 };
-        let steady = draw(id, c.own) < part * wave;
+        let load = if self.many() { 1.0 } else { self.load(c) / self.mean() };
         let tokens = self.cold_tokens(now, host, warmth);
-        warmth >= 1.0 || steady && tokens >= 0.0 || tokens >= 1.0 || self.cold_part(id, c, warmth)
+        let steady = tokens >= 0.0 && draw(id, c.own) * load < part * wave;
+        warmth >= 1.0 || tokens >= 1.0 || steady || self.cold_part(now, id, c, warmth, tokens)
     }
 
-    /// Where a token is made of many nodes' parts: by chance, what all may send there by its size since this
-    /// node's arrival before this one, and the more the fewer walks meet the host. A walk passes so many that
-    /// have room, each as often as it is large, and the cold ones between: a host is met by its part of all
-    /// that can be taken, so that its own size cancels out. Were all nodes asked at once, what they make up
-    /// for in one is `SAFE` times what the rule lets it in its span.
-    fn cold_part(&self, id: HostId, c: &Call, warmth: f64) -> bool {
+    /// Where no whole token is in hand: by chance, what all may send there since this node's arrival before
+    /// this one, the more the fewer walks meet the host. A walk passes so many that have room, each as often
+    /// as it is large, and the cold ones between: a host is met by its part of all: its own size cancels out.
+    fn cold_part(&self, now: Micros, id: HostId, c: &Call, warmth: f64, tokens: f64) -> bool {
         let rules = &self.settings.rules;
         let gap = (c.gap as f64).min(rules.fall_time as f64);
-        let fills =
-            self.totals.size / f64::from(SPREAD.0) * 1e6 / LIFE / f64::from(self.settings.peers_total);
-        let room = SAFE * rules.overload_factor * warmth * fills * gap;
-        self.measures() && draw(id, c.own ^ c.deadline) * self.load(c) < room
+        let fills = if self.measures() {
+            SAFE.0 * self.totals.size * 1e6 / LIFE / f64::from(self.settings.peers_total)
+        } else {
+            SAFE.1 * self.steady_rate(now) * HEADROOM * self.mean()
+        };
+        let room = rules.overload_factor * warmth * fills / f64::from(SPREAD.0) * gap;
+        (self.measures() || !self.many() && tokens >= 0.0)
+            && draw(id, c.own ^ c.deadline) * self.load(c) < room
     }
 
     /// Whether the hosts as they are bear one client more at each node that holds as much: by chance, else
@@ -1008,8 +1019,7 @@
     fn spend(&mut self, now: Micros, id: HostId, call: &CallId) {
         let Some((host, c)) = self.hosts.get(&id).zip(self.calls.get(call)) else { return };
         let warmth = self.warmth(now, host);
-        let mean = self.mean_load(self.settings.classes.len()).max(f64::MIN_POSITIVE);
-        let left = self.cold_tokens(now, host, warmth) - self.load(c) / mean;
+        let left = self.cold_tokens(now, host, warmth) - self.load(c) / self.mean();
         self.hosts.entry(id).and_modify(|h| h.tokens = (left, now));
     }
 
@@ -1038,6 +1048,10 @@
         }
     }
 
+    fn mean(&self) -> f64 {
+        self.mean_load(self.settings.classes.len()).max(f64::MIN_POSITIVE)
+    }
+
     fn load(&self, c: &Call) -> f64 {
         c.load.unwrap_or_else(|| self.mean_load(c.class))
     }
