--- a/review/2/case.py
+++ b/review/2/case.py
@@ -34,7 +34,7 @@
 
 class XmppServer:
     """An XMPP session server. A log-in whose last byte has come runs: its effect is noted at once, and the answer comes
-    when the set-up is done. When it begins to drain it sends all its clients away at once, as RFC 6120, 4.9.3.20 has it."""
+    when the set-up is done. When it begins to drain it sends all its clients away at once, with the stream error that RFC 6120 has for it."""
 
     def __init__(self, record, name, effects, rng):
         self.record, self.name, self.effects, self.rng = record, name, effects, rng
