--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -2,29 +2,19 @@
 //! response lasts. A watch that ends because discovery closed it is not reopened here: the broker is notified and
 //! decides.
 
+mod http;
+
 use crate::api::ListKind;
 use crate::broker::instances::Listing;
 use crate::broker::Broker;
-use http_body_util::{BodyExt, Empty};
-use hyper::body::{Bytes, Incoming};
-use hyper::{Request, StatusCode};
-use hyper_util::rt::TokioIo;
+use http::{check_size, next_chunk, request, DiscoveryError};
 use std::cell::{Cell, RefCell};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use tokio::net::TcpStream;
 use tokio::task::{spawn_local, JoinHandle};
 
-/// Time limit for the response header of a request, in microseconds.
-const RESPONSE_TIMEOUT: u64 = 3_000_000;
-/// Longest silence of a watch before it counts as cut off though its connection is open, in microseconds. Discovery
-/// sends at least an empty line every 2 s, and changes of the list count as notified a few seconds after they were
-/// made.
-const SILENCE_TIMEOUT: u64 = 4_200_000;
-/// Error of a watch that exceeded [`SILENCE_TIMEOUT`].
-const SILENCE_ERROR: &str = "it sent nothing within the time limit";
-/// Longest list or line accepted, in bytes: enough for thousands of instances.
-const MAX_LISTING_BYTES: usize = 4 << 20;
+/// Path of the whole list.
+const LIST_PATH: &str = "/catalog/members";
 
 /// Keeps one watch open. After the address of discovery has changed, watches at earlier addresses stay open until the
 /// new address has sent the whole list, so that no change is missed in between.
@@ -73,7 +63,7 @@
                 // A discovery service that goes down closes its watches. A silent watch means that only this balancer's
                 // link failed. It is reopened at once: the rest of the fleet does not reconnect at the same time, and
                 // until the decision module would request a new watch, hosts may have been draining for long.
-                if e != SILENCE_ERROR || change != watcher.address_changes.get() {
+                if !matches!(e, DiscoveryError::Silent) || change != watcher.address_changes.get() {
                     break;
                 }
                 from = watcher.broker.list_version();
@@ -95,29 +85,39 @@
         }
     }
 
-    async fn run(&self, discovery: SocketAddr, from: Option<u64>) -> Result<(), String> {
-        let broker = &self.broker;
+    async fn run(&self, discovery: SocketAddr, from: Option<u64>) -> Result<(), DiscoveryError> {
         let from = match from {
             Some(from) => from,
             None => {
-                let mut body = request(broker, discovery, "/catalog/members").await?;
-                let mut body_bytes = Vec::new();
-                while let Some(chunk) = next_chunk(broker, &mut body).await? {
-                    body_bytes.extend_from_slice(&chunk);
-                    check_size(&body_bytes)?;
-                }
-                let listing: Listing = serde_json::from_slice(&body_bytes).map_err(parse_error)?;
+                let listing = self.whole_list(discovery).await?;
                 let index = listing.index;
                 self.change_at_last_list.set(self.address_changes.get());
                 self.previous.borrow_mut().drain(..).for_each(|watch| watch.abort());
-                broker.update_list(ListKind::Full, listing);
-                broker.list_confirmed();
+                self.broker.update_list(ListKind::Full, listing);
+                self.broker.list_confirmed();
                 index
             }
         };
+        self.follow_changes(discovery, from).await
+    }
+
+    /// Requests the whole list.
+    async fn whole_list(&self, discovery: SocketAddr) -> Result<Listing, DiscoveryError> {
+        let mut body = request(&self.broker, discovery, LIST_PATH).await?;
+        let mut received = Vec::new();
+        while let Some(chunk) = next_chunk(&self.broker, &mut body).await? {
+            received.extend_from_slice(&chunk);
+            check_size(received.len())?;
+        }
+        Ok(serde_json::from_slice(&received)?)
+    }
+
+    /// Opens a watch from this version of the list on and applies its updates until it ends.
+    async fn follow_changes(&self, discovery: SocketAddr, from: u64) -> Result<(), DiscoveryError> {
+        let broker = &self.broker;
         let requested_at = broker.now();
         tracing::debug!(from, "discovery: watch requested");
-        let mut body = request(broker, discovery, &format!("/catalog/members?watch=1&from={from}")).await?;
+        let mut body = request(broker, discovery, &format!("{LIST_PATH}?watch=1&from={from}")).await?;
         let waited_us = broker.now().saturating_sub(requested_at);
         tracing::debug!(from, waited_us, "discovery: watch open");
         let mut pending: Vec<u8> = Vec::new();
@@ -125,25 +125,31 @@
             pending.extend_from_slice(&chunk);
             // The end of an object is the end of a line, but an object may span several lines.
             if chunk.contains(&b'\n') {
-                let mut listings = serde_json::Deserializer::from_slice(&pending).into_iter::<Listing>();
-                for listing in listings.by_ref() {
-                    match listing {
-                        Ok(listing) => self.apply_update(listing),
-                        Err(e) if e.is_eof() => break,
-                        Err(e) => return Err(parse_error(e)),
-                    }
-                }
-                let parsed = listings.byte_offset();
-                pending.drain(..parsed);
+                self.apply_complete_updates(&mut pending)?;
                 // The first line holds all changes since the requested version; an empty line states that there are
                 // none.
                 if pending.iter().all(u8::is_ascii_whitespace) {
-                    self.broker.list_confirmed();
+                    broker.list_confirmed();
                 }
             }
-            check_size(&pending)?;
+            check_size(pending.len())?;
+        }
+        Err(DiscoveryError::Closed)
+    }
+
+    /// Applies the complete objects at the start of `pending` and removes them.
+    fn apply_complete_updates(&self, pending: &mut Vec<u8>) -> Result<(), DiscoveryError> {
+        let mut listings = serde_json::Deserializer::from_slice(pending).into_iter::<Listing>();
+        for listing in listings.by_ref() {
+            match listing {
+                Ok(listing) => self.apply_update(listing),
+                Err(e) if e.is_eof() => break,
+                Err(e) => return Err(e.into()),
+            }
         }
-        Err("discovery closed the connection".into())
+        let parsed = listings.byte_offset();
+        pending.drain(..parsed);
+        Ok(())
     }
 
     fn apply_update(&self, listing: Listing) {
@@ -159,55 +165,3 @@
         self.broker.update_list(kind, listing);
     }
 }
-
-fn error_text(e: impl std::fmt::Display) -> String {
-    e.to_string()
-}
-
-fn parse_error(e: serde_json::Error) -> String {
-    format!("not a valid list of instances: {e}")
-}
-
-fn check_size(pending: &[u8]) -> Result<(), String> {
-    match pending.len() > MAX_LISTING_BYTES {
-        true => Err("a list or line exceeds the size limit".into()),
-        false => Ok(()),
-    }
-}
-
-/// Sends a request and returns the body of its response.
-async fn request(broker: &Rc<Broker>, discovery: SocketAddr, path: &str) -> Result<Incoming, String> {
-    let response = async {
-        let stream = TcpStream::connect(discovery).await.map_err(error_text)?;
-        let _ = stream.set_nodelay(true);
-        let (mut sender, connection) =
-            hyper::client::conn::http1::handshake(TokioIo::new(stream)).await.map_err(error_text)?;
-        // Errors of the connection also fail the response; the task ends with the connection.
-        spawn_local(async { connection.await.unwrap_or_default() });
-        let request = Request::get(path).header("host", discovery.to_string());
-        let request = request.body(Empty::<Bytes>::new()).map_err(error_text)?;
-        sender.send_request(request).await.map_err(error_text)
-    };
-    let response = tokio::select! {
-        response = response => response?,
-        () = broker.sleep(RESPONSE_TIMEOUT.min(broker.max_poll_interval() / 2)) => {
-            return Err("no response within the time limit".into())
-        }
-    };
-    match response.status() {
-        StatusCode::OK => Ok(response.into_body()),
-        status => Err(format!("unexpected status {status}")),
-    }
-}
-
-/// Returns the next part of a body; none at its end. Fails after [`SILENCE_TIMEOUT`] without data.
-async fn next_chunk(broker: &Rc<Broker>, body: &mut Incoming) -> Result<Option<Bytes>, String> {
-    let frame = tokio::select! {
-        frame = body.frame() => frame,
-        () = broker.sleep(SILENCE_TIMEOUT) => return Err(SILENCE_ERROR.into()),
-    };
-    match frame {
-        Some(frame) => Ok(Some(frame.map_err(error_text)?.into_data().unwrap_or_default())),
-        None => Ok(None),
-    }
-}
