Show operators whether discovery is watched, and how old the list is

Four metrics in DUMP: lb.discovery_watching, lb.discovery_watches_ended, lb.discovery_list_age_ms and lb.discovery_list_version. They tell apart what looks alike to clients: no call under way (watching 0, ended stands still), calls that fail (ended grows), a watch that is open and silent (watching 1, age grows), a list that does not change (age small, version old).

--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -7,6 +7,7 @@
 mod command;
 pub mod core;
 pub mod deadlines;
+pub mod discovery_metrics;
 pub mod drain;
 pub mod front;
 pub mod handover;
@@ -26,6 +27,7 @@
 pub use command::{resume_connection, run_command, Command, SILENCE_TIMEOUT};
 use core::Core;
 use deadlines::{Clock, Deadlines, Sleep};
+use discovery_metrics::DiscoveryMetrics;
 use drain::Drain;
 pub use front::{Client, ClientGone, ConnectionEnd, Dialer, Execution, Failure};
 use handover::HandedOverConnection;
@@ -115,6 +117,7 @@
     free_descriptors: Cell<usize>,
     drain: RefCell<Drain>,
     metrics: Rc<Metrics>,
+    discovery_metrics: DiscoveryMetrics,
     /// Notifies the task that moves connections when a drain or shutdown starts.
     drain_started: Notify,
     /// State of the list since the start of the process.
@@ -149,6 +152,7 @@
             free_descriptors: Cell::new(descriptors),
             drain: RefCell::default(),
             metrics: Metrics::new(classes),
+            discovery_metrics: DiscoveryMetrics::default(),
             drain_started: Notify::new(),
             list_state: watch::Sender::new(ListState::Configured),
         };
@@ -239,6 +243,7 @@
 
     /// Records that all changes up to discovery's answer have been applied.
     pub fn list_confirmed(&self) {
+        self.discovery_metrics.record_confirmed(self.now());
         self.list_state.send_replace(ListState::Confirmed);
     }
 
@@ -247,8 +252,14 @@
         self.list_state.subscribe()
     }
 
+    /// Records that a watch is being opened.
+    pub fn watch_started(&self) {
+        self.discovery_metrics.record_started();
+    }
+
     /// Records that the watch could not be established, or has ended.
     pub fn watch_ended(&self) {
+        self.discovery_metrics.record_ended();
         self.list_state.send_replace(ListState::Unreachable);
         self.list_unavailable();
     }
--- a/src/broker/operations.rs
+++ b/src/broker/operations.rs
@@ -21,7 +21,9 @@
 
     /// Returns all metrics, one line each.
     pub fn metrics(&self) -> String {
-        self.0.metrics.lines(self.0.names.classes(), self.0.member_counts())
+        let broker = &self.0;
+        let commands = broker.metrics.lines(broker.names.classes(), broker.member_counts());
+        commands + &broker.discovery_metrics.lines(broker.now(), broker.list_version())
     }
 
     /// Starts a drain: health checks get a negative answer, and clients of established connections are asked to
--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -74,6 +74,7 @@
             }
         });
         *self.current.borrow_mut() = Some(watch);
+        self.broker.watch_started();
     }
 
     /// Sets the address of discovery and opens a watch there.
--- /dev/null
+++ b/tests/discovery.rs
@@ -0,0 +1,73 @@
+//! Watches at discovery across changes of its address: which lists are in use, and that the newest address is called
+//! until it is watched, in each order in which the addresses answer, refuse, fall silent or return.
+
+mod peers;
+use peers::*;
+use std::net::SocketAddr;
+use std::sync::mpsc::channel;
+
+const LIST: &str = "GET /catalog/members";
+
+/// Request for a watch from this version of the list on.
+fn watch_request(from: u64) -> String {
+    format!("{LIST}?watch=1&from={from}")
+}
+
+/// A balancer that watches a first discovery service, at which every script begins. The list holds one ready instance.
+struct Fixture {
+    first: Discovery,
+    balancer: Balancer,
+    instance: SocketAddr,
+    address: SocketAddr,
+}
+
+impl Fixture {
+    fn new() -> Fixture {
+        let (reports, _) = channel();
+        let instance = echo_instance("a", reports);
+        let first = Discovery::without_updates();
+        let list = [list_entry("s-00000001", instance, "ready")];
+        let balancer = Balancer::start_with_admin(&first, &list, None);
+        assert!(first.next_request().starts_with(&watch_request(1)));
+        let address = first.address;
+        Fixture { first, balancer, instance, address }
+    }
+
+    /// Has the balancer reload a configuration with this address of discovery.
+    fn move_discovery(&mut self, address: SocketAddr) {
+        let previous = std::mem::replace(&mut self.address, address).to_string();
+        self.balancer.reload_config(|text| text.replace(&previous, &address.to_string()));
+    }
+
+    /// Returns an entry of the only instance.
+    fn entry(&self, status: &str) -> String {
+        list_entry("s-00000001", self.instance, status)
+    }
+
+    /// Asserts that the balancer reports these metrics at some time.
+    fn await_metrics(&self, wanted: &[&str]) {
+        await_metrics(&self.balancer, wanted);
+    }
+}
+
+/// Operators see whether discovery is watched, calls that fail, and a list that is not confirmed any more.
+#[test]
+fn metrics_tell_a_watch_from_failed_calls_and_an_old_list() {
+    let second = HeldDiscovery::new();
+    let mut fixture = Fixture::new();
+    fixture.first.keep_watch_alive();
+    let start =
+        ["lb.discovery_watching:1|g", "lb.discovery_watches_ended:0|c", "lb.discovery_list_version:1|g"];
+    fixture.await_metrics(&start);
+    fixture.move_discovery(second.address);
+    second.expect_call(LIST).refuse();
+    fixture.await_metrics(&["lb.discovery_watching:0|g", "lb.discovery_watches_ended:1|c"]);
+    second.expect_call(LIST).answer_list(5, &[fixture.entry("ready")]);
+    let _watch = second.expect_call(&watch_request(5));
+    fixture.await_metrics(&["lb.discovery_watching:1|g", "lb.discovery_list_version:5|g"]);
+    // The watch stays silent: the list is confirmed no more.
+    let age_ms =
+        |line: &str| line.strip_prefix("lb.discovery_list_age_ms:")?.strip_suffix("|g")?.parse::<u64>().ok();
+    let is_old = |text: &str| text.lines().find_map(age_ms).unwrap() >= 100;
+    while !is_old(&fixture.balancer.admin_command("DUMP\r\n")) {}
+}
--- a/tests/operations.rs
+++ b/tests/operations.rs
@@ -84,20 +84,6 @@
     }
 }
 
-/// Reads the metrics until they contain these lines: an event may be counted a moment after it happened.
-fn await_metrics(balancer: &Balancer, wanted: &[&str]) {
-    let deadline = Instant::now() + Duration::from_secs(10);
-    loop {
-        let text = balancer.admin_command("DUMP\r\n");
-        assert!(text.starts_with("200 ") && text.ends_with("\r\nEOF\r\n"), "{text}");
-        let missing = wanted.iter().find(|line| !text.lines().any(|l| l == **line));
-        match missing {
-            None => return,
-            Some(line) => assert!(Instant::now() < deadline, "{line} is not in {text}"),
-        }
-    }
-}
-
 /// Guards against metrics that differ from what clients and instances observed themselves.
 #[test]
 fn metrics_match_what_clients_and_instances_counted() {
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -18,6 +18,9 @@
 /// Limit on each wait for an expected event; it only ends a test that would hang.
 const HANG_TIMEOUT: Duration = Duration::from_secs(20);
 
+/// Interval of the empty lines with which discovery keeps a watch alive.
+const KEEP_ALIVE_INTERVAL: Duration = Duration::from_millis(500);
+
 /// Blocking TCP connection that is read line by line.
 pub struct LineConnection {
     pub stream: TcpStream,
@@ -256,12 +259,98 @@
         self.requests.recv_timeout(HANG_TIMEOUT).expect("a request to discovery")
     }
 
+    /// Sends empty lines on the newest watch as long as its connection is open.
+    pub fn keep_watch_alive(&self) {
+        let mut watch = self.watch.lock().unwrap().as_ref().unwrap().try_clone().unwrap();
+        thread::spawn(move || {
+            while watch.write_all(http_chunk("\n").as_bytes()).is_ok() {
+                thread::sleep(KEEP_ALIVE_INTERVAL);
+            }
+        });
+    }
+
     pub fn push(&self, line: &str) {
         let mut watch = self.watch.lock().unwrap();
         watch.as_mut().unwrap().write_all(http_chunk(line).as_bytes()).unwrap();
     }
 }
 
+/// Discovery server that passes each call to the test, which decides when and how it is answered.
+pub struct HeldDiscovery {
+    pub address: SocketAddr,
+    calls: Receiver<DiscoveryCall>,
+}
+
+/// A call to a [`HeldDiscovery`]. Dropping it closes the connection.
+pub struct DiscoveryCall {
+    /// Request line without the HTTP version.
+    pub request: String,
+    connection: LineConnection,
+}
+
+impl HeldDiscovery {
+    pub fn new() -> HeldDiscovery {
+        let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+        let address = listener.local_addr().unwrap();
+        let (call_sender, calls) = channel();
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let mut connection = LineConnection::new(stream);
+                let request = connection.receive_line().replace(" HTTP/1.1", "");
+                while !matches!(connection.receive_line().as_str(), "" | "END" | "RESET") {}
+                if call_sender.send(DiscoveryCall { request, connection }).is_err() {
+                    return;
+                }
+            }
+        });
+        HeldDiscovery { address, calls }
+    }
+
+    /// Waits for the next call, asserts what it requests and returns it.
+    pub fn expect_call(&self, request: &str) -> DiscoveryCall {
+        let call = self.calls.recv_timeout(HANG_TIMEOUT).expect("a call to discovery");
+        assert_eq!(call.request, request);
+        call
+    }
+
+    /// Asserts that no call has arrived that the test has not taken.
+    pub fn expect_no_call(&self) {
+        if let Ok(call) = self.calls.try_recv() {
+            panic!("unexpected call: {}", call.request);
+        }
+    }
+}
+
+impl DiscoveryCall {
+    /// Answers a call for the whole list.
+    pub fn answer_list(mut self, index: u64, entries: &[String]) {
+        let entries = entries.join(",");
+        let list = format!("{{\"index\":{index},\"snapshot\":true,\"endpoints\":[{entries}]}}");
+        self.connection
+            .send_text(&format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{list}", list.len()));
+    }
+
+    /// Answers 503, as discovery does when it is down.
+    pub fn refuse(mut self) {
+        self.connection.send_text("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n");
+    }
+
+    /// Answers a call for a watch, which is open from now on, and sends an empty line.
+    pub fn open_watch(&mut self) {
+        self.connection.send_text(&(CHUNKED_RESPONSE.to_string() + &http_chunk("\n")));
+    }
+
+    /// Sends a line on an open watch.
+    pub fn push(&mut self, line: &str) {
+        self.connection.send_text(&http_chunk(line));
+    }
+
+    /// Waits until the balancer has closed the connection.
+    pub fn expect_closed(&mut self) {
+        assert_eq!(self.connection.receive_line(), "END");
+    }
+}
+
 /// A running balancer process. Dropping it kills the process and deletes its files.
 pub struct Balancer {
     child: Child,
@@ -527,3 +616,17 @@
         let _ = std::fs::remove_dir_all(&self.dir);
     }
 }
+
+/// Reads the metrics until they contain these lines: an event may be counted a moment after it happened.
+pub fn await_metrics(balancer: &Balancer, wanted: &[&str]) {
+    let deadline = Instant::now() + HANG_TIMEOUT;
+    loop {
+        let text = balancer.admin_command("DUMP\r\n");
+        assert!(text.starts_with("200 ") && text.ends_with("\r\nEOF\r\n"), "{text}");
+        let missing = wanted.iter().find(|line| !text.lines().any(|l| l == **line));
+        match missing {
+            None => return,
+            Some(line) => assert!(Instant::now() < deadline, "{line} is not in {text}"),
+        }
+    }
+}
