Keep asking discovery until the watch that was asked for is there

What callers saw: after a new configuration whose address of discovery failed at first, the balancer went on with the list of the earlier address for as long as that one stayed up, however old. Cause: the decision module took every list or change for the answer to its own call (subscribed = true), so one from an earlier address cancelled the call that was due at the newest. Evidence: lb.discovery_watching 0, lb.discovery_watches_ended unchanged, list age growing, no Watch decided. Fix: a watch counts as there from the request on until discovery is told to have failed; a list proves nothing about it. At discovery every call ends in a list or a failure, so nothing else changes.

--- a/src/placement.rs
+++ b/src/placement.rs
@@ -354,7 +354,8 @@
     pending_probes: BTreeMap<HostId, (Micros, Vec<CallId>)>,
     /// When an attempt or a probe last failed, or a message was late.
     last_trouble: Option<Micros>,
-    subscribed: bool,
+    /// Whether a watch of the list was requested and discovery has not failed since.
+    watch_requested: bool,
     /// Failures of discovery since the last list.
     poll_failures: u32,
     /// Loads reported so far, by class: sum and number. The last entry is over all classes.
@@ -466,7 +467,7 @@
             }
             Event::Timer { token } => {
                 if token == POLL_TIMER {
-                    self.subscribe(out);
+                    self.request_watch(out);
                 } else if self.pending_probes.get(&(token as HostId)).is_some_and(|probe| now >= probe.0) {
                     self.finish_probe(now, token as HostId, false, None, out);
                 }
@@ -491,7 +492,7 @@
     /// Applies an update of the list; schedules the next request for it where discovery has to be asked.
     fn update_members(&mut self, now: Micros, kind: ListKind, entries: Vec<Entry>, out: &mut Vec<Action>) {
         if kind == ListKind::Failed {
-            self.subscribed = false;
+            self.watch_requested = false;
             self.poll_failures += 1;
             let wait = self.poll_retry_step().min(POLL_RETRY_STEP) / 2
                 + self.random() % self.poll_retry_step().max(self.poll_spread());
@@ -542,11 +543,11 @@
         self.add_to_ring(&joined);
         self.totals.at = None;
         if kind != ListKind::Cached {
-            (self.subscribed, self.poll_failures) = (true, 0);
+            self.poll_failures = 0;
         } else if self.settings.discovery == Discovery::Asked {
             // All nodes may have started at once, so their requests are spread.
             match self.random() % (self.poll_spread() + 1) {
-                0 => self.subscribe(out),
+                0 => self.request_watch(out),
                 wait => out.push(Action::Timer { at: now + wait, token: POLL_TIMER }),
             }
         }
@@ -579,9 +580,10 @@
         self.settings.max_poll_interval.map_or(Micros::MAX / 4, |most| most / 10 * 8)
     }
 
-    /// Asks for the list, unless the node is subscribed to its changes.
-    fn subscribe(&self, out: &mut Vec<Action>) {
-        if !self.subscribed {
+    /// Requests a watch of the list, unless one was requested and discovery has not failed since. A list that arrives
+    /// meanwhile does not count as a watch: after a change of discovery's address it may come from an earlier one.
+    fn request_watch(&mut self, out: &mut Vec<Action>) {
+        if !std::mem::replace(&mut self.watch_requested, true) {
             out.push(Action::Watch);
         }
     }
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -71,3 +71,23 @@
     let is_old = |text: &str| text.lines().find_map(age_ms).unwrap() >= 100;
     while !is_old(&fixture.balancer.admin_command("DUMP\r\n")) {}
 }
+
+/// Updates of an earlier address that goes on for ever do not stand for a watch at the newest one.
+#[test]
+fn updates_of_an_earlier_address_do_not_end_the_calls_for_the_newest() {
+    let second = HeldDiscovery::new();
+    let mut fixture = Fixture::new();
+    fixture.first.keep_watch_alive();
+    fixture.move_discovery(second.address);
+    for index in 2..5 {
+        second.expect_call(LIST).refuse();
+        fixture.balancer.wait_for_log(&format!("the watch at {} ended", second.address));
+        let name = format!("s-0000000{index}");
+        fixture.first.push(&watch_line(index, &[list_entry(&name, closed_address(), "ready")]));
+        fixture.balancer.wait_for_log(&name);
+    }
+    second.expect_call(LIST).answer_list(1, &[fixture.entry("ready")]);
+    second.expect_call(&watch_request(1)).open_watch();
+    fixture.balancer.wait_for_log("s-00000004 is no longer listed");
+    fixture.await_metrics(&["lb.discovery_watching:1|g", "lb.discovery_list_version:1|g"]);
+}
