Let a list of discovery end the watches of earlier addresses only

Cause: a whole list ended all watches of 'previous', also where it came from one of them: the watch ended itself and reported no end. It also counted as the list of the newest address, which then continued from a version that is not its own. Fix: each change of the address begins a generation, and one table without I/O (watches.rs) owns every watch from its opening to its end: a list closes the watches of earlier generations only, its version belongs to its generation, and the end of the newest watch is reported, once. Ends at earlier addresses need no report: the newest one is open, or its own end was reported.

--- a/src/net/discovery/mod.rs
+++ b/src/net/discovery/mod.rs
@@ -3,6 +3,7 @@
 //! decides.
 
 mod http;
+mod watches;
 
 use crate::api::ListKind;
 use crate::broker::instances::Listing;
@@ -12,94 +13,95 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::task::{spawn_local, JoinHandle};
+use watches::{Generation, Watches};
 
 /// Path of the whole list.
 const LIST_PATH: &str = "/catalog/members";
 
-/// Keeps one watch open. After the address of discovery has changed, watches at earlier addresses stay open until the
-/// new address has sent the whole list, so that no change is missed in between.
+/// Keeps a watch open at the configured address. Watches at earlier addresses stay open until a later address has sent
+/// the whole list, so that no change is missed in between.
 pub struct DiscoveryWatcher {
     broker: Rc<Broker>,
     address: Cell<SocketAddr>,
-    /// Number of changes of the address.
-    address_changes: Cell<u64>,
-    /// Value of `address_changes` when discovery last sent the whole list.
-    change_at_last_list: Cell<u64>,
-    current: RefCell<Option<JoinHandle<()>>>,
-    previous: RefCell<Vec<JoinHandle<()>>>,
+    watches: RefCell<Watches<Watch>>,
+}
+
+/// An open watch, or a call for one.
+struct Watch {
+    address: SocketAddr,
+    task: JoinHandle<()>,
 }
 
 impl DiscoveryWatcher {
     /// Returns a watcher without an open watch.
     pub fn new(broker: Rc<Broker>, address: SocketAddr) -> Rc<DiscoveryWatcher> {
-        let (address_changes, change_at_last_list) = (Cell::new(0), Cell::new(0));
-        let (current, previous) = (RefCell::default(), RefCell::default());
-        Rc::new(DiscoveryWatcher {
-            broker,
-            address: Cell::new(address),
-            address_changes,
-            change_at_last_list,
-            current,
-            previous,
-        })
-    }
-
-    fn is_watching(&self) -> bool {
-        self.current.borrow().as_ref().is_some_and(|watch| !watch.is_finished())
+        let watches = RefCell::new(Watches::new());
+        Rc::new(DiscoveryWatcher { broker, address: Cell::new(address), watches })
     }
 
-    /// Opens a watch from this version of the list on, unless one is open.
+    /// Opens a watch at the configured address from this version of the list on, unless one is open. Its end is
+    /// reported to the broker once.
     pub fn watch(self: &Rc<Self>, from: u64) {
-        if self.is_watching() {
+        let mut watches = self.watches.borrow_mut();
+        if watches.newest_is_open() {
             return;
         }
-        let (watcher, address, change) = (self.clone(), self.address.get(), self.address_changes.get());
-        let watch = spawn_local(async move {
-            let mut from = from;
-            // Versions are not comparable between discovery services: a new one has to send the whole list first.
-            let list_received = || watcher.change_at_last_list.get() == change;
-            while let Err(e) = watcher.run(address, Some(from).filter(|_| list_received())).await {
-                tracing::warn!("discovery: the watch at {address} ended: {e}");
-                // A discovery service that goes down closes its watches. A silent watch means that only this balancer's
-                // link failed. It is reopened at once: the rest of the fleet does not reconnect at the same time, and
-                // until the decision module would request a new watch, hosts may have been draining for long.
-                if !matches!(e, DiscoveryError::Silent) || change != watcher.address_changes.get() {
-                    break;
-                }
-                from = watcher.broker.list_version();
-            }
-            // The end of a watch at an earlier address is reported only if no other watch is open.
-            if change == watcher.address_changes.get() || !watcher.is_watching() {
-                watcher.broker.watch_ended();
-            }
-        });
-        *self.current.borrow_mut() = Some(watch);
+        let (address, generation) = (self.address.get(), watches.newest());
+        let task = spawn_local(self.clone().run(address, generation, from));
+        watches.opened(Watch { address, task });
         self.broker.watch_started();
     }
 
     /// Sets the address of discovery and opens a watch there.
     pub fn set_address(self: &Rc<Self>, address: SocketAddr) {
         if self.address.replace(address) != address {
-            self.address_changes.set(self.address_changes.get() + 1);
-            self.previous.borrow_mut().extend(self.current.take());
+            self.watches.borrow_mut().change_address();
             self.watch(0);
         }
     }
 
-    async fn run(&self, discovery: SocketAddr, from: Option<u64>) -> Result<(), DiscoveryError> {
-        let from = match from {
-            Some(from) => from,
-            None => {
-                let listing = self.whole_list(discovery).await?;
-                let index = listing.index;
-                self.change_at_last_list.set(self.address_changes.get());
-                self.previous.borrow_mut().drain(..).for_each(|watch| watch.abort());
-                self.broker.update_list(ListKind::Full, listing);
-                self.broker.list_confirmed();
-                index
+    /// Watches an address until the watch ends, and records its end.
+    async fn run(self: Rc<Self>, address: SocketAddr, generation: Generation, mut from: u64) {
+        while let Err(e) = self.watch_once(address, generation, from).await {
+            tracing::warn!("discovery: the watch at {address} ended: {e}");
+            // A discovery service that goes down closes its watches. A silent watch means that only this balancer's
+            // link failed. It is reopened at once: the rest of the fleet does not reconnect at the same time, and
+            // until the decision module would request a new watch, hosts may have been draining for long.
+            if !matches!(e, DiscoveryError::Silent) || generation != self.watches.borrow().newest() {
+                break;
             }
-        };
-        self.follow_changes(discovery, from).await
+            from = self.broker.list_version();
+        }
+        let is_newest = self.watches.borrow_mut().ended(generation);
+        if is_newest {
+            self.broker.watch_ended();
+        }
+    }
+
+    /// Requests the whole list, unless the one in use is from this address, and follows its changes.
+    async fn watch_once(
+        &self,
+        address: SocketAddr,
+        generation: Generation,
+        from: u64,
+    ) -> Result<(), DiscoveryError> {
+        let has_list = self.watches.borrow().has_list(generation);
+        let from = if has_list { from } else { self.fetch_list(address, generation).await? };
+        self.follow_changes(address, from).await
+    }
+
+    /// Requests the whole list, applies it, closes the watches that it supersedes and returns its version.
+    async fn fetch_list(&self, address: SocketAddr, generation: Generation) -> Result<u64, DiscoveryError> {
+        let listing = self.whole_list(address).await?;
+        let index = listing.index;
+        for superseded in self.watches.borrow_mut().list_received(generation) {
+            let earlier = superseded.address;
+            tracing::info!("discovery: the watch at {earlier} is closed: {address} has sent the whole list");
+            superseded.task.abort();
+        }
+        self.broker.update_list(ListKind::Full, listing);
+        self.broker.list_confirmed();
+        Ok(index)
     }
 
     /// Requests the whole list.
--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -72,6 +72,45 @@
     while !is_old(&fixture.balancer.admin_command("DUMP\r\n")) {}
 }
 
+/// Watches of two earlier addresses: a list that arrives late from one of them neither ends the calls for the newest
+/// address nor its own watch, and its version is not one of the newest address.
+#[test]
+fn a_late_list_of_an_earlier_address_leaves_both_addresses_watched() {
+    let (second, third) = (HeldDiscovery::new(), HeldDiscovery::new());
+    let mut fixture = Fixture::new();
+    fixture.move_discovery(second.address);
+    let late = second.expect_call(LIST);
+    fixture.move_discovery(third.address);
+    third.expect_call(LIST).refuse();
+    fixture.balancer.wait_for_log(&format!("the watch at {} ended", third.address));
+    late.answer_list(50, &[fixture.entry("ready")]);
+    let mut watch = second.expect_call(&watch_request(50));
+    watch.open_watch();
+    // The newest address is called for its whole list: version 50 is not one of its versions.
+    third.expect_call(LIST).answer_list(7, &[fixture.entry("ready")]);
+    let mut newest = third.expect_call(&watch_request(7));
+    newest.open_watch();
+    watch.expect_closed();
+    fixture.await_metrics(&["lb.discovery_watching:1|g", "lb.discovery_list_version:7|g"]);
+}
+
+/// The end of a watch of an earlier address that has sent its list late leaves the next call at the newest one due.
+#[test]
+fn the_newest_address_is_called_again_after_an_earlier_one_sent_a_late_list_and_closed() {
+    let (second, third) = (HeldDiscovery::new(), HeldDiscovery::new());
+    let mut fixture = Fixture::new();
+    fixture.move_discovery(second.address);
+    let late = second.expect_call(LIST);
+    fixture.move_discovery(third.address);
+    third.expect_call(LIST).refuse();
+    fixture.balancer.wait_for_log(&format!("the watch at {} ended", third.address));
+    late.answer_list(50, &[fixture.entry("ready")]);
+    second.expect_call(&watch_request(50)).refuse();
+    third.expect_call(LIST).answer_list(7, &[fixture.entry("draining")]);
+    fixture.balancer.wait_for_log("s-00000001 at");
+    third.expect_call(&watch_request(7));
+}
+
 /// Updates of an earlier address that goes on for ever do not stand for a watch at the newest one.
 #[test]
 fn updates_of_an_earlier_address_do_not_end_the_calls_for_the_newest() {
@@ -87,7 +126,60 @@
         fixture.balancer.wait_for_log(&name);
     }
     second.expect_call(LIST).answer_list(1, &[fixture.entry("ready")]);
-    second.expect_call(&watch_request(1)).open_watch();
+    let mut watch = second.expect_call(&watch_request(1));
+    watch.open_watch();
     fixture.balancer.wait_for_log("s-00000004 is no longer listed");
     fixture.await_metrics(&["lb.discovery_watching:1|g", "lb.discovery_list_version:1|g"]);
 }
+
+/// An address that returns is a new one: its whole list counts, also with a lower version, and the calls at the address
+/// in between end with it.
+#[test]
+fn an_address_that_returns_is_watched_from_its_whole_list() {
+    let (second, third) = (HeldDiscovery::new(), HeldDiscovery::new());
+    let mut fixture = Fixture::new();
+    fixture.move_discovery(second.address);
+    second.expect_call(LIST).answer_list(50, &[fixture.entry("ready")]);
+    let mut earlier = second.expect_call(&watch_request(50));
+    earlier.open_watch();
+    fixture.move_discovery(third.address);
+    let mut between = third.expect_call(LIST);
+    fixture.move_discovery(second.address);
+    second.expect_call(LIST).answer_list(7, &[fixture.entry("ready")]);
+    let mut watch = second.expect_call(&watch_request(7));
+    watch.open_watch();
+    earlier.expect_closed();
+    between.expect_closed();
+    watch.push(&watch_line(8, &[fixture.entry("draining")]));
+    fixture.await_metrics(&["lb.discovery_watching:1|g", "lb.discovery_list_version:8|g"]);
+    third.expect_no_call();
+}
+
+/// A new address that falls silent at any step is called again, though the earlier one has closed its watch meanwhile.
+#[test]
+fn a_new_address_that_falls_silent_is_called_again() {
+    for answers_before_silence in 0..3 {
+        let second = HeldDiscovery::new();
+        let mut fixture = Fixture::new();
+        fixture.move_discovery(second.address);
+        let mut call = second.expect_call(LIST);
+        let mut expected = LIST.to_string();
+        if answers_before_silence > 0 {
+            call.answer_list(5, &[fixture.entry("ready")]);
+            expected = watch_request(5);
+            call = second.expect_call(&expected);
+        }
+        if answers_before_silence > 1 {
+            call.open_watch();
+        }
+        fixture.first.close_watch();
+        let mut again = second.expect_call(&expected);
+        call.expect_closed();
+        if answers_before_silence == 0 {
+            again.answer_list(5, &[fixture.entry("ready")]);
+            again = second.expect_call(&watch_request(5));
+        }
+        again.open_watch();
+        fixture.await_metrics(&["lb.discovery_watching:1|g", "lb.discovery_list_version:5|g"]);
+    }
+}
--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -269,6 +269,12 @@
         });
     }
 
+    /// Closes the newest watch.
+    pub fn close_watch(&self) {
+        let watch = self.watch.lock().unwrap().take().unwrap();
+        watch.shutdown(std::net::Shutdown::Both).unwrap();
+    }
+
     pub fn push(&self, line: &str) {
         let mut watch = self.watch.lock().unwrap();
         watch.as_mut().unwrap().write_all(http_chunk(line).as_bytes()).unwrap();
@@ -347,7 +353,8 @@
 
     /// Waits until the balancer has closed the connection.
     pub fn expect_closed(&mut self) {
-        assert_eq!(self.connection.receive_line(), "END");
+        let end = self.connection.receive_line();
+        assert!(matches!(end.as_str(), "END" | "RESET"), "{end}");
     }
 }
 
