--- a/src/broker/front.rs
+++ b/src/broker/front.rs
@@ -63,6 +63,11 @@
         allowed && state.instances.is_ready(self.instance)
     }
 
+    /// Returns the id of the command.
+    pub fn call_id(&self) -> &str {
+        &self.call.0
+    }
+
     /// Records that the request was sent completely: from now on the instance may execute it.
     pub fn record_sent(&self) {
         self.command_metrics.record_attempt();
--- a/src/net/xmpp/relay.rs
+++ b/src/net/xmpp/relay.rs
@@ -75,9 +75,8 @@
         let down = relay_units(&mut instance.reader, &mut client.writer, |unit| match unit {
             Unit::Header(_) => header_sent = true,
             Unit::Stanza(element) if element.is(STREAMS, "error") => {
-                let is_redirect =
-                    element.has_descendant("see-other-host") || element.has_descendant("system-shutdown");
-                announced_end = Some(if is_redirect { ConnectionEnd::Left } else { ConnectionEnd::Broken });
+                announced_end =
+                    Some(if element.is_redirect() { ConnectionEnd::Left } else { ConnectionEnd::Broken });
             }
             _ => {}
         });
--- a/src/net/xmpp/stream.rs
+++ b/src/net/xmpp/stream.rs
@@ -51,6 +51,11 @@
     pub fn has_descendant(&self, name: &str) -> bool {
         self.descendants.iter().any(|n| n == name)
     }
+
+    /// Returns whether a stream error has a condition with which a server that leaves sends all its clients away.
+    pub fn is_redirect(&self) -> bool {
+        self.has_descendant("see-other-host") || self.has_descendant("system-shutdown")
+    }
 }
 
 /// A part of a stream that is read and relayed as a whole.
--- a/tests/xmpp.rs
+++ b/tests/xmpp.rs
@@ -6,7 +6,9 @@
 use peers::*;
 use std::io::{Read, Write};
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::mpsc::{channel, Sender};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 const OPENING: &str =
@@ -488,3 +490,83 @@
     balancer.signal("-CONT");
     assert!(!reports.recv().unwrap().1.contains("<auth"));
 }
+
+/// Where in a log-in a server ends it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+enum LoginStage {
+    BeforeCredentials,
+    AfterCredentials,
+}
+
+/// Starts a server that reports each log-in that it has received whole. The first log-in at any server with the same
+/// `is_first` ends with `ending` and the end of the connection; the others succeed.
+fn server_ending_first_login(
+    stage: LoginStage,
+    ending: &str,
+    is_first: &Arc<AtomicBool>,
+    logins: Sender<()>,
+) -> SocketAddr {
+    let (ending, is_first) = (ending.to_string(), is_first.clone());
+    spawn_instance(move |mut peer| {
+        peer.receive_until("version='1.0'");
+        peer.receive_until(">");
+        peer.send_text(OPENING);
+        if stage == LoginStage::BeforeCredentials && is_first.swap(false, Ordering::Relaxed) {
+            peer.send_text(&ending);
+            return;
+        }
+        peer.send_text(FEATURES).receive_until("</auth>");
+        let _ = logins.send(());
+        if stage == LoginStage::AfterCredentials && is_first.swap(false, Ordering::Relaxed) {
+            peer.send_text(&ending);
+            return;
+        }
+        peer.send_text(SUCCESS).receive_rest();
+    })
+}
+
+/// Logs in at a balancer with two servers, of which the first that is tried ends the log-in so. Returns the number of
+/// log-ins that the servers received whole, and the client's answer.
+fn log_in_with_first_ended(stage: LoginStage, ending: &str, effect: &str) -> (usize, String) {
+    let (login_sender, logins) = channel();
+    let is_first = Arc::new(AtomicBool::new(true));
+    let server = || server_ending_first_login(stage, ending, &is_first, login_sender.clone());
+    let instances = [("s-00000001", server()), ("s-00000002", server())];
+    let list = instances.map(|(name, _)| list_entry(name, closed_address(), "ready"));
+    let settings = SETTINGS.replace("\"free\"", &format!("\"{effect}\""));
+    let operator = operator_file(&instances, "");
+    let discovery = Discovery::without_updates();
+    let balancer = Balancer::start_with(&discovery, &list, Some(&operator), &settings, "text");
+    let mut client = log_in(&balancer, "ana");
+    let answer = client.receive_until(">");
+    let answer = if answer == SUCCESS { answer } else { answer + &client.receive_rest() };
+    (logins.try_iter().count(), answer)
+}
+
+fn stream_error(condition: &str) -> String {
+    format!(
+        "<stream:error><{condition} xmlns='urn:ietf:params:xml:ns:xmpp-streams'/></stream:error></stream:stream>"
+    )
+}
+
+/// Once its credentials were sent a log-in may have run, whatever stream error the server ends it with: where the class
+/// forbids repeats it must not be sent to a second server, and it still is where repeats are harmless.
+#[test]
+fn a_login_that_ends_after_its_credentials_is_repeated_only_where_repeats_are_allowed() {
+    let conditions = ["system-shutdown", "see-other-host", "resource-constraint", "internal-server-error"];
+    let endings = conditions.map(stream_error).into_iter().chain([
+        String::new(),
+        "</stream:stream>".into(),
+        "<presence/>".into(),
+    ]);
+    for ending in endings {
+        let (logins, answer) = log_in_with_first_ended(LoginStage::AfterCredentials, &ending, "single_shot");
+        assert_eq!(logins, 1, "{ending:?}");
+        assert!(answer.contains("remote-connection-failed"), "{ending:?}: {answer}");
+        let (logins, answer) = log_in_with_first_ended(LoginStage::AfterCredentials, &ending, "free");
+        assert_eq!((logins, answer.as_str()), (2, SUCCESS), "{ending:?}");
+    }
+    let rejection = failure("temporary-auth-failure");
+    let (logins, answer) = log_in_with_first_ended(LoginStage::AfterCredentials, &rejection, "single_shot");
+    assert_eq!((logins, answer.as_str()), (2, SUCCESS), "the server's answer says that it did not run");
+}
