Count an attempt that was never sent as one that never ran, on every front

What callers saw: where a class forbids repeats, a request was failed though nothing of it had been sent: on the XMPP front when a server ended its stream or kept silent before it was sent the credentials, on the line front when a connection did not come up within the class's target. Cause: each front named the outcome by how the attempt ended (Reset, Error, Timeout) and not by whether the request had been sent whole. PROTOCOL: 'never comes up, or breaks before the line's last byte is written: could not connect, never'. Fix: the attempt knows whether its request was sent (record_sent, as for the metric), and Execution::proven_outcome, the one caller of which is run_command, makes every end of an unsent one ConnectFailed. The fronts keep what is theirs: which answer to a sent request is a rejection. Tests, red before ('ERR not served', remote-connection-failed): a_login_that_ends_before_its_credentials_..., a_login_at_a_server_that_never_opens_its_stream_..., a_request_is_tried_again_in_every_class_only_if_... (the last one also holds MOVE, end, ERR and an unknown answer to one attempt, BUSY to two).

--- a/src/broker/command.rs
+++ b/src/broker/command.rs
@@ -69,7 +69,7 @@
         };
         match result {
             Ok(link) => break link,
-            Err(outcome) => command.execution_failed(outcome),
+            Err(outcome) => command.execution_failed(execution.proven_outcome(outcome)),
         }
     };
     command.record_established();
--- a/src/broker/front.rs
+++ b/src/broker/front.rs
@@ -4,6 +4,7 @@
 use super::metrics::CommandMetrics;
 use super::{Broker, Command};
 use crate::api::*;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -51,6 +52,8 @@
     pub(super) call: CallId,
     pub(super) command_metrics: Rc<CommandMetrics>,
     pub(super) broker: Rc<Broker>,
+    /// Whether the request was sent completely.
+    pub(super) sent: Cell<bool>,
 }
 
 impl Execution {
@@ -70,9 +73,20 @@
 
     /// Records that the request was sent completely: from now on the instance may execute it.
     pub fn record_sent(&self) {
+        self.sent.set(true);
         self.command_metrics.record_attempt();
     }
 
+    /// Returns what the end of the attempt proves, on every front. A request that was not sent completely never ran,
+    /// however its attempt ended. One that was sent may have run, unless the outcome is the instance's own rejection.
+    pub(super) fn proven_outcome(&self, reported: Outcome) -> Outcome {
+        if self.sent.get() || reported.never_ran() {
+            reported
+        } else {
+            Outcome::ConnectFailed
+        }
+    }
+
     /// Returns the time left until the deadline.
     pub fn remaining(&self) -> Micros {
         self.deadline.saturating_sub(self.broker.now())
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -507,6 +507,7 @@
             call,
             command_metrics,
             broker: self.clone(),
+            sent: Cell::new(false),
         })
     }
 
--- a/src/net/xmpp/dialer.rs
+++ b/src/net/xmpp/dialer.rs
@@ -131,7 +131,7 @@
         if !execution.may_send() {
             return Err(Outcome::Moot);
         }
-        connection.writer.write_all(&self.login.auth).await.map_err(|_| Outcome::Reset)?;
+        connection.writer.write_all(&self.login.auth).await.map_err(|_| Outcome::ConnectFailed)?;
         execution.record_sent();
         let (answer, accepted) = self.await_answer(&mut connection, execution).await?;
         if accepted {
--- a/tests/windows.rs
+++ b/tests/windows.rs
@@ -2,6 +2,7 @@
 
 mod peers;
 use peers::*;
+use std::net::SocketAddr;
 use std::sync::mpsc::channel;
 
 /// Settings with one class of this effect, a window of 600 ms, and other time limits long enough not to matter.
@@ -71,3 +72,35 @@
     assert!(reported.recv().unwrap().starts_with("OPEN 1 2"));
     assert!(reported.try_recv().is_err(), "the command was sent again");
 }
+
+/// A request whose connection never came up was not sent, so it is tried at the next instance in every class. After its
+/// line was sent only `BUSY` says that it did not run.
+#[test]
+fn a_request_is_tried_again_in_every_class_only_if_it_was_not_sent_or_was_rejected() {
+    let discovery = Discovery::without_updates();
+    let settings = settings_with_effect("single_shot").replace("\"AimMs\":9000", "\"AimMs\":200");
+    let names = ["s-00000001", "s-00000002"];
+    let serve = |first: SocketAddr, second: SocketAddr| {
+        let list = [list_entry(names[0], first, "ready"), list_entry(names[1], second, "ready")];
+        let balancer = Balancer::start_with(&discovery, &list, None, &settings, "text");
+        balancer.connect_client().send_text("OPEN 1 2 c=watch,d=2000\r\n").receive_line()
+    };
+    // Each instance is tried first in one of the two orders.
+    let (reports, _) = channel();
+    let (slow, sound) = (FullListener::new(), echo_instance("sound", reports));
+    assert_eq!(serve(slow.address(), sound), "UP 1");
+    assert_eq!(serve(sound, slow.address()), "UP 1");
+    for (ending, attempts) in [("MOVE\r\n", 1), ("", 1), ("ERR\r\n", 1), ("junk\r\n", 1), ("BUSY\r\n", 2)] {
+        let (reports, reported) = channel();
+        let instance = || {
+            let reports = reports.clone();
+            spawn_instance(move |mut peer| {
+                let _ = reports.send(peer.receive_line());
+                peer.send_text(ending);
+            })
+        };
+        let answer = serve(instance(), instance());
+        assert_eq!(reported.try_iter().count(), attempts, "{ending:?}");
+        assert!(answer.starts_with(if attempts == 1 { "ERR" } else { "BUSY" }), "{ending:?}: {answer}");
+    }
+}
--- a/tests/xmpp.rs
+++ b/tests/xmpp.rs
@@ -570,3 +570,50 @@
     let (logins, answer) = log_in_with_first_ended(LoginStage::AfterCredentials, &rejection, "single_shot");
     assert_eq!((logins, answer.as_str()), (2, SUCCESS), "the server's answer says that it did not run");
 }
+
+/// A log-in whose credentials were not sent never ran, however the server ended it or kept silent: it is tried at the
+/// next server in every class, and not failed.
+#[test]
+fn a_login_that_ends_before_its_credentials_is_tried_at_the_next_server_in_every_class() {
+    let conditions = ["system-shutdown", "resource-constraint", "internal-server-error", "host-unknown"];
+    let endings = conditions.map(stream_error).into_iter().chain([
+        String::new(),
+        "</stream:stream>".into(),
+        "<presence/>".into(),
+        SUCCESS.into(),
+    ]);
+    for ending in endings {
+        let (logins, answer) = log_in_with_first_ended(LoginStage::BeforeCredentials, &ending, "single_shot");
+        assert_eq!((logins, answer.as_str()), (1, SUCCESS), "{ending:?}");
+    }
+}
+
+/// As above, for a server that never offers to log in: it is given up at the class's target for the set-up.
+#[test]
+fn a_login_at_a_server_that_never_opens_its_stream_is_tried_at_the_next_server_in_every_class() {
+    let (login_sender, logins) = channel();
+    // Whichever of the two is tried first is silent.
+    let is_first = Arc::new(AtomicBool::new(true));
+    let server = || {
+        let (is_first, logins) = (is_first.clone(), login_sender.clone());
+        spawn_instance(move |mut peer| {
+            if is_first.swap(false, Ordering::Relaxed) {
+                peer.receive_rest();
+                return;
+            }
+            peer.receive_until(">");
+            peer.receive_until(">");
+            peer.send_text(OPENING).send_text(FEATURES).receive_until("</auth>");
+            let _ = logins.send(());
+            peer.send_text(SUCCESS).receive_rest();
+        })
+    };
+    let instances = [("s-00000001", server()), ("s-00000002", server())];
+    let list = instances.map(|(name, _)| list_entry(name, closed_address(), "ready"));
+    let settings = SETTINGS.replace("\"free\"", "\"single_shot\"").replace("\"AimMs\":800", "\"AimMs\":200");
+    let operator = operator_file(&instances, "");
+    let discovery = Discovery::without_updates();
+    let balancer = Balancer::start_with(&discovery, &list, Some(&operator), &settings, "text");
+    let answer = log_in(&balancer, "ana").receive_until(">");
+    assert_eq!((logins.try_iter().count(), answer.as_str()), (1, SUCCESS));
+}
