Give the silence of an instance a module of its own, which every front is handed

The line relay timed unanswered lines itself and asked the command what a silence means; both are now SilenceMonitor (src/broker/silence.rs), which the broker makes for each established connection and Client::relay receives, so that a front cannot overlook it. The cap of 64 timed lines now also holds for lines that were buffered before the relay began.

--- a/src/broker/command.rs
+++ b/src/broker/command.rs
@@ -3,22 +3,15 @@
 
 use super::front::{Client, ClientGone, ConnectionEnd, Dialer, Execution, Failure};
 use super::metrics::{CommandMetrics, CommandResult};
+use super::silence::{SilenceMonitor, SLOW_REPORT_INTERVAL};
 use super::{Broker, DescriptorReservation, Instruction, Refused, ANSWER_MARGIN, DESCRIPTORS_PER_CONNECTION};
 use crate::api::*;
 use std::rc::Rc;
 use tokio::sync::mpsc::UnboundedReceiver;
 
-/// Shortest time between two reports of slow messages for one instance, as the decision module's `DelayNote` expects.
-const SLOW_REPORT_INTERVAL: Micros = 1_000_000;
 /// Time from `UP` within which the first `LOAD` value is the connection's load. An idle connection reports no load, so
 /// at an overloaded instance a later first value may be a message delay.
 const OPENING_LOAD_WINDOW: Micros = 50_000;
-/// A connection on which an instance returns nothing for a message is ended after this time. The instance may have
-/// stopped up to two seconds before the message, and the connection must be ended within seven seconds of the stop.
-pub const SILENCE_TIMEOUT: Micros = 4_500_000;
-/// The same limit while the instance returns messages on other connections: then only this connection has stopped.
-const SINGLE_SILENCE_TIMEOUT: Micros = 3_000_000;
-
 /// Runs a command from its arrival to its final answer, and on to the end of its connection if one is established.
 pub async fn run_command<C, D>(
     broker: &Rc<Broker>,
@@ -74,7 +67,8 @@
     };
     command.record_established();
     command_metrics.record_result(CommandResult::Completed);
-    let ended = client.relay(link, &mut command).await;
+    let silence = command.silence_monitor();
+    let ended = client.relay(link, &mut command, &silence).await;
     command.record_end(ended);
 }
 
@@ -120,7 +114,8 @@
     };
     command_metrics.record_result(CommandResult::Completed);
     let mut command = broker.adopt(demand, team, instance);
-    let ended = client.relay(link, &mut command).await;
+    let silence = command.silence_monitor();
+    let ended = client.relay(link, &mut command, &silence).await;
     command.record_end(ended);
 }
 
@@ -159,6 +154,11 @@
         &self.broker
     }
 
+    /// Returns the monitor of the established connection.
+    fn silence_monitor(&self) -> SilenceMonitor {
+        SilenceMonitor::new(self.broker.clone(), self.execution.map(|(host, _)| host))
+    }
+
     /// Returns the next instruction; at the deadline `Fail`, so that the service client is answered before it gives up.
     async fn next_instruction(&mut self) -> Instruction {
         let instruction = tokio::select! {
@@ -290,48 +290,6 @@
         }
         self.broker.handle_event(Event::LoadNote { call: self.id.clone(), load: value });
     }
-
-    /// Reports that a message has had no reply for this time span, and returns whether its connection is to be ended.
-    /// Unless the instance returned messages on other connections meanwhile, the decision module is notified, at most
-    /// once per second and instance.
-    pub fn report_silence(&self, span: Micros) -> bool {
-        let Some((host, _)) = self.execution else { return true };
-        let now = self.broker.now();
-        {
-            let mut state = self.broker.state.borrow_mut();
-            let Some(instance) = state.instances.get_mut(host) else { return span >= SILENCE_TIMEOUT };
-            if instance.last_message_at > now.saturating_sub(span) {
-                // The instance works: the fault is in this connection, and no reason to avoid the instance.
-                return span >= SINGLE_SILENCE_TIMEOUT;
-            }
-            if span < SLOW_REPORT_INTERVAL
-                || instance
-                    .slow_reported_at
-                    .is_some_and(|reported| now < reported.saturating_add(SLOW_REPORT_INTERVAL))
-            {
-                return span >= SILENCE_TIMEOUT;
-            }
-            instance.slow_reported_at = Some(now);
-        }
-        self.broker.handle_event(Event::DelayNote { host, delay: span });
-        span >= SILENCE_TIMEOUT
-    }
-
-    /// Reports that a message came back after this time span. The decision module is notified only if a silence was
-    /// reported to it before. The span says nothing else about the instance: an instance returns a message at once even
-    /// with a long queue of work, so other delays arise in this process.
-    pub fn report_returned_message(&self, span: Micros) {
-        let Some((host, _)) = self.execution else { return };
-        {
-            let mut state = self.broker.state.borrow_mut();
-            let Some(instance) = state.instances.get_mut(host) else { return };
-            instance.last_message_at = self.broker.now();
-            if instance.slow_reported_at.take().is_none() {
-                return;
-            }
-        }
-        self.broker.handle_event(Event::DelayNote { host, delay: span });
-    }
 }
 
 impl Drop for Command {
--- a/src/broker/front.rs
+++ b/src/broker/front.rs
@@ -2,7 +2,7 @@
 //! the outcomes that they report.
 
 use super::metrics::CommandMetrics;
-use super::{Broker, Command};
+use super::{Broker, Command, SilenceMonitor};
 use crate::api::*;
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -109,8 +109,14 @@
     type Link;
     /// Completes when the service client has left or broken the protocol.
     async fn wait_gone(&mut self) -> ClientGone;
-    /// Relays data in both directions until the connection ends.
-    async fn relay(&mut self, link: Self::Link, command: &mut Command) -> ConnectionEnd;
+    /// Relays data in both directions until the connection ends. The front records at `silence` the messages that the
+    /// instance has to answer and what it sends, and ends the connection when the silence is exceeded.
+    async fn relay(
+        &mut self,
+        link: Self::Link,
+        command: &mut Command,
+        silence: &SilenceMonitor,
+    ) -> ConnectionEnd;
     /// Sends the final answer: refused, with a retry delay.
     async fn nack(&mut self, retry_after: Option<Micros>);
     /// Sends the final answer: failed.
--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -10,7 +10,7 @@
 use crate::broker::metrics::CommandResult;
 use crate::broker::{
     resume_connection, run_command, Broker, Client, ClientGone, Command, ConnectionEnd, Dialer, Execution,
-    Failure,
+    Failure, SilenceMonitor,
 };
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -248,8 +248,8 @@
         }
     }
 
-    async fn relay(&mut self, link: Link, command: &mut Command) -> ConnectionEnd {
-        relay::relay_lines(&mut self.link, link, command).await
+    async fn relay(&mut self, link: Link, command: &mut Command, silence: &SilenceMonitor) -> ConnectionEnd {
+        relay::relay_lines(&mut self.link, link, command, silence).await
     }
 
     async fn nack(&mut self, retry_after: Option<Micros>) {
--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -5,8 +5,7 @@
 use super::idle::IdleConnections;
 use super::links::Link;
 use crate::api::Micros;
-use crate::broker::{Broker, Command, ConnectionEnd, SILENCE_TIMEOUT};
-use std::collections::VecDeque;
+use crate::broker::{Broker, Command, ConnectionEnd, SilenceMonitor, SILENCE_TIMEOUT};
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -19,11 +18,6 @@
 const FLUSH_TIMEOUT: Micros = 1_000_000;
 /// Most bytes read and dropped from a client after its last line was written.
 const MAX_DRAINED_BYTES: usize = 64 * MAX_LINE_BYTES;
-/// Interval at which an unanswered message is reported to the broker, in microseconds.
-const UNANSWERED_REPORT_INTERVAL: Micros = 1_000_000;
-/// Most client lines whose answer is timed at once; further ones are relayed without timing.
-const MAX_TIMED_LINES: usize = 64;
-
 /// One direction of a relay: from the buffer of one link to the stream of the other.
 #[derive(Default)]
 struct Direction {
@@ -94,15 +88,13 @@
 }
 
 /// What was learned from the lines of a connection.
-#[derive(Default)]
-struct LineMonitor {
-    /// Times at which the client's unanswered lines were read, oldest first.
-    unanswered: VecDeque<Micros>,
+struct LineMonitor<'a> {
+    silence: &'a SilenceMonitor,
     /// Reason of the end that the instance's last line announced.
     announced_end: Option<ConnectionEnd>,
 }
 
-impl LineMonitor {
+impl LineMonitor<'_> {
     fn instance_line(&mut self, line: &[u8], now: Micros, command: &mut Command) {
         let mut words = line.split(|&b| b == b' ');
         match words.next().unwrap_or_default() {
@@ -116,11 +108,7 @@
             }
             b"BYE" => self.announced_end = Some(ConnectionEnd::Served),
             b"MOVE" => self.announced_end = Some(ConnectionEnd::Left),
-            _ => {
-                if let Some(since) = self.unanswered.pop_front() {
-                    command.report_returned_message(now.saturating_sub(since));
-                }
-            }
+            _ => self.silence.record_answer(now),
         }
     }
 }
@@ -161,21 +149,23 @@
 }
 
 /// Relays lines until the connection ends; the caller closes the client's connection.
-pub async fn relay_lines(client: &mut Link, mut instance: Link, command: &mut Command) -> ConnectionEnd {
+pub async fn relay_lines(
+    client: &mut Link,
+    mut instance: Link,
+    command: &mut Command,
+    silence: &SilenceMonitor,
+) -> ConnectionEnd {
     let broker = command.broker().clone();
-    let (mut up, mut down, mut monitor) =
-        (Direction::default(), Direction::default(), LineMonitor::default());
+    let (mut up, mut down) = (Direction::default(), Direction::default());
+    let mut monitor = LineMonitor { silence, announced_end: None };
     // The buffers may hold lines already: the instance's `UP`, and what the client sent early.
     let now = broker.now();
-    if let Err(e) = down.scan(&instance, &mut |_| ()).and_then(|()| {
-        let unanswered = &mut monitor.unanswered;
-        up.scan(client, &mut |_| unanswered.push_back(now))
-    }) {
+    let scanned = down.scan(&instance, &mut |_| ());
+    if let Err(e) = scanned.and_then(|()| up.scan(client, &mut |_| silence.record_sent(now))) {
         tracing::warn!("connection ended: {e}");
         return ConnectionEnd::Left;
     }
-    // Times of the last traffic and of the last check for an unanswered line.
-    let (mut last_traffic, mut last_check) = (now, now);
+    let mut last_traffic = now;
     loop {
         let sides = async {
             tokio::select! {
@@ -183,13 +173,10 @@
                 r = wait_ready(&instance.stream, down.wants_read(&instance), up.wants_write()) => r,
             }
         };
-        let oldest = monitor.unanswered.front().copied();
-        // A check each second while a line is unanswered. Otherwise there is a time limit only for a client that has
+        // While a line is unanswered the silence is checked. Otherwise there is a time limit only for a client that has
         // ended its side: it may be gone, but is served for as long as its instance sends.
-        let wait = match (oldest, up.ended) {
-            (Some(since), _) => broker.sleep_until(
-                (last_check.max(since) + UNANSWERED_REPORT_INTERVAL).min(since + SILENCE_TIMEOUT),
-            ),
+        let wait = match (silence.next_check(), up.ended) {
+            (Some(check_at), _) => broker.sleep_until(check_at),
             (None, true) => broker.sleep_until(last_traffic + SILENCE_TIMEOUT),
             (None, false) => broker.sleep_until(Micros::MAX),
         };
@@ -199,25 +186,19 @@
             // An error recurs when the socket is used.
             _ = sides => {}
             () = wait => {
-                last_check = broker.now();
-                match oldest {
-                    Some(since) if command.report_silence(last_check - since) => {
-                        tracing::info!("a connection brought nothing back for {} ms: moved", (last_check - since) / 1000);
-                        return send_move(&broker, client, &mut down, &mut instance).await;
-                    }
-                    Some(_) => {}
-                    None => return ConnectionEnd::Left,
+                if silence.next_check().is_none() {
+                    return ConnectionEnd::Left;
+                }
+                if let Some(span) = silence.check(broker.now()) {
+                    tracing::info!("a connection brought nothing back for {} ms: moved", span / 1000);
+                    return send_move(&broker, client, &mut down, &mut instance).await;
                 }
                 continue;
             }
         }
         let now = broker.now();
         last_traffic = now;
-        let from_client = up.read(client, |_| {
-            if monitor.unanswered.len() < MAX_TIMED_LINES {
-                monitor.unanswered.push_back(now);
-            }
-        });
+        let from_client = up.read(client, |_| silence.record_sent(now));
         if let Err(e) = from_client.and_then(|()| down.write(&mut instance, &client.stream)) {
             if e.kind() == io::ErrorKind::InvalidData {
                 tracing::warn!("client: sent {e}; connection ended");
--- a/src/net/xmpp/mod.rs
+++ b/src/net/xmpp/mod.rs
@@ -9,7 +9,9 @@
 
 use super::idle::IdleConnections;
 use crate::api::{Demand, Micros};
-use crate::broker::{run_command, Broker, Client, ClientGone, Command, ConnectionEnd, Failure};
+use crate::broker::{
+    run_command, Broker, Client, ClientGone, Command, ConnectionEnd, Failure, SilenceMonitor,
+};
 use crate::config::{Grouping, XmppSettings};
 use dialer::{AnsweredLogin, LoginDialer};
 use login::{close_failed_login, login, secure_login, Login, LoginStep};
@@ -157,7 +159,12 @@
         ClientGone::Left
     }
 
-    async fn relay(&mut self, link: AnsweredLogin, command: &mut Command) -> ConnectionEnd {
+    async fn relay(
+        &mut self,
+        link: AnsweredLogin,
+        command: &mut Command,
+        _silence: &SilenceMonitor,
+    ) -> ConnectionEnd {
         let AnsweredLogin { connection: mut instance, answer, accepted } = link;
         if !accepted {
             let last_units = String::from_utf8_lossy(&answer).into_owned() + CLOSE;
