End an XMPP connection whose server answers nothing, by the rule of the line front

Cause: relay_stanzas waited for a move and for either direction, and for no time. Fix: it tells the connection's SilenceMonitor what a working server answers at once (stream header, iq get or set to the server itself, <r/>), and anything that the server sends is an answer. A client that waits for nothing is never cut off. relay_stanzas is split into steps on the way.

--- a/src/net/xmpp/mod.rs
+++ b/src/net/xmpp/mod.rs
@@ -132,7 +132,7 @@
         ..Demand::new(&id, class, left)
     };
     let dialer = LoginDialer { front, login: &login };
-    let mut client = XmppClient { connection, front: front.clone() };
+    let mut client = XmppClient { connection, front: front.clone(), domain: service.domain.clone() };
     let team = service.team.as_deref().unwrap_or(&service.domain);
     run_command(broker, demand, Some(team), &mut client, &dialer).await;
 }
@@ -141,6 +141,8 @@
 struct XmppClient {
     connection: XmppConnection,
     front: Rc<XmppFront>,
+    /// Domain of the service that the client has logged in to.
+    domain: String,
 }
 
 /// Returns the XML of a refusal, with the time after which to retry where there is one.
@@ -163,7 +165,7 @@
         &mut self,
         link: AnsweredLogin,
         command: &mut Command,
-        _silence: &SilenceMonitor,
+        silence: &SilenceMonitor,
     ) -> ConnectionEnd {
         let AnsweredLogin { connection: mut instance, answer, accepted } = link;
         if !accepted {
@@ -175,7 +177,8 @@
         }
         self.connection.reader.restart();
         self.connection.writer.push(&answer);
-        relay::relay_stanzas(&self.front, &mut self.connection, &mut instance, command).await
+        let domain = &self.domain;
+        relay::relay_stanzas(&self.front, domain, &mut self.connection, &mut instance, command, silence).await
     }
 
     async fn nack(&mut self, retry_after: Option<Micros>) {
--- a/src/net/xmpp/relay.rs
+++ b/src/net/xmpp/relay.rs
@@ -1,8 +1,11 @@
 //! Relays an established XMPP connection: whole stanzas in both directions, each with its own backpressure.
 
-use super::stream::{stream_error_xml, Reader, StreamEnd, Unit, Writer, XmppConnection, CLOSE, STREAMS};
+use super::stream::{
+    stream_error_xml, Reader, StreamEnd, Unit, Writer, XmppConnection, CLOSE, STREAMS, STREAM_MANAGEMENT,
+};
 use super::{XmppFront, CLOSE_TIMEOUT};
-use crate::broker::{Broker, Command, ConnectionEnd};
+use crate::api::Micros;
+use crate::broker::{Broker, Command, ConnectionEnd, SilenceMonitor};
 use std::rc::Rc;
 use tokio::io::{AsyncRead, AsyncWrite};
 
@@ -58,70 +61,87 @@
     to.flush().await.is_ok()
 }
 
+/// Returns whether a working instance answers a client's unit at once: the header of a stream, and requests that it
+/// handles itself (RFC 6120, 8.2.3; XEP-0198). Requests to other entities take as long as those need, and messages and
+/// presence have no answer.
+fn is_answered_at_once(unit: &Unit, domain: &str) -> bool {
+    match unit {
+        Unit::Header(_) => true,
+        Unit::Stanza(element) if element.name == "iq" => {
+            let is_request = matches!(element.attribute("type"), Some("get" | "set"));
+            is_request && element.attribute("to").is_none_or(|to| to.eq_ignore_ascii_case(domain))
+        }
+        Unit::Stanza(element) => element.is(STREAM_MANAGEMENT, "r"),
+        Unit::Space | Unit::Close => false,
+    }
+}
+
+/// Why the relay has stopped.
+enum RelayEnd {
+    /// The client is to be moved.
+    MoveRequested,
+    /// The instance has been silent for this time.
+    Silent(Micros),
+    /// The direction from the client has ended.
+    FromClient(DirectionEnd),
+    /// The direction from the instance has ended.
+    FromInstance(DirectionEnd),
+}
+
 /// Relays stanzas until the connection ends, then closes both streams; returns how it ended.
 pub async fn relay_stanzas(
     front: &XmppFront,
+    domain: &str,
     client: &mut XmppConnection,
     instance: &mut XmppConnection,
     command: &mut Command,
+    silence: &SilenceMonitor,
 ) -> ConnectionEnd {
     let broker = command.broker().clone();
     let stanza_timeout = front.settings.finish.0;
     // A stream error is meaningful only inside a stream, so the client must have been sent the header of its new
     // stream.
     let (mut announced_end, mut header_sent) = (None, false);
-    let (from_client, end) = {
-        let up = relay_units(&mut client.reader, &mut instance.writer, |_| ());
-        let down = relay_units(&mut instance.reader, &mut client.writer, |unit| match unit {
-            Unit::Header(_) => header_sent = true,
-            Unit::Stanza(element) if element.is(STREAMS, "error") => {
-                announced_end =
-                    Some(if element.is_redirect() { ConnectionEnd::Left } else { ConnectionEnd::Broken });
+    let last_received = instance.reader.last_received();
+    let end = {
+        let up = relay_units(&mut client.reader, &mut instance.writer, |unit| {
+            if is_answered_at_once(unit, domain) {
+                silence.record_sent(broker.now());
+            }
+        });
+        let down = relay_units(&mut instance.reader, &mut client.writer, |unit| {
+            silence.record_activity(broker.now());
+            match unit {
+                Unit::Header(_) => header_sent = true,
+                Unit::Stanza(element) if element.is(STREAMS, "error") => {
+                    announced_end =
+                        Some(if element.is_redirect() { ConnectionEnd::Left } else { ConnectionEnd::Broken });
+                }
+                _ => {}
             }
-            _ => {}
         });
         tokio::select! {
             biased;
-            () = command.move_requested() => (false, None),
-            end = up => (true, Some(end)),
-            end = down => (false, Some(end)),
+            () = command.move_requested() => RelayEnd::MoveRequested,
+            end = up => RelayEnd::FromClient(end),
+            end = down => RelayEnd::FromInstance(end),
+            span = silence.exceeded(|| last_received.get()) => RelayEnd::Silent(span),
         }
     };
     let client_header = if header_sent { String::new() } else { front.stream_header("", "") };
-    let Some(end) = end else {
-        // At a drain partly sent stanzas are completed, within a time limit, and both sides are sent a stream error.
-        let completed = async {
-            tokio::join!(
-                finish_partial_unit(&mut client.reader, &mut instance.writer),
-                finish_partial_unit(&mut instance.reader, &mut client.writer)
-            );
-        };
-        tokio::select! {
-            () = completed => {}
-            // Only whole stanzas are queued, but the write of one may be stuck: nothing may follow it.
-            () = broker.sleep(stanza_timeout) => {}
+    match end {
+        RelayEnd::MoveRequested => {
+            finish_partial_units(&broker, client, instance, stanza_timeout).await;
+            send_move(front, client, &client_header, instance).await;
+            ConnectionEnd::Left
+        }
+        RelayEnd::Silent(span) => {
+            tracing::info!("a connection brought nothing back for {} ms: moved", span / 1000);
+            send_move(front, client, &client_header, instance).await;
+            ConnectionEnd::Left
         }
-        let client_error = match &front.settings.other_host {
-            Some(host) => {
-                let ns = "urn:ietf:params:xml:ns:xmpp-streams";
-                let host = super::escape_xml(host);
-                format!("<stream:error><see-other-host xmlns='{ns}'>{host}</see-other-host></stream:error>{CLOSE}")
-            }
-            None => stream_error_xml("system-shutdown", "please come again"),
-        };
-        finish_both(
-            &broker,
-            client,
-            &(client_header + &client_error),
-            instance,
-            &stream_error_xml("system-shutdown", ""),
-        )
-        .await;
-        return ConnectionEnd::Left;
-    };
-    match (from_client, end) {
         // One side closed the stream; the other has some time to close it too.
-        (true, DirectionEnd::Closed) => {
+        RelayEnd::FromClient(DirectionEnd::Closed) => {
             let answered = relay_units(&mut instance.reader, &mut client.writer, |_| ());
             tokio::select! {
                 _ = answered => {}
@@ -130,7 +150,7 @@
             finish_both(&broker, client, "", instance, "").await;
             ConnectionEnd::Left
         }
-        (false, DirectionEnd::Closed) => {
+        RelayEnd::FromInstance(DirectionEnd::Closed) => {
             let answered = relay_units(&mut client.reader, &mut instance.writer, |_| ());
             tokio::select! {
                 _ = answered => {}
@@ -139,43 +159,75 @@
             finish_both(&broker, client, "", instance, "").await;
             announced_end.unwrap_or(ConnectionEnd::Served)
         }
-        (true, DirectionEnd::Sender(StreamEnd::Violation(condition))) => {
+        RelayEnd::FromClient(DirectionEnd::Sender(StreamEnd::Violation(condition))) => {
             tracing::warn!("xmpp client: {condition}; connection ended");
-            finish_both(
-                &broker,
-                client,
-                &(client_header + &stream_error_xml(condition, "")),
-                instance,
-                CLOSE,
-            )
-            .await;
+            let to_client = client_header + &stream_error_xml(condition, "");
+            finish_both(&broker, client, &to_client, instance, CLOSE).await;
             ConnectionEnd::Left
         }
-        (true, DirectionEnd::Sender(StreamEnd::Disconnected)) | (false, DirectionEnd::Receiver) => {
+        RelayEnd::FromClient(DirectionEnd::Sender(StreamEnd::Disconnected))
+        | RelayEnd::FromInstance(DirectionEnd::Receiver) => {
             finish_both(&broker, client, "", instance, CLOSE).await;
             ConnectionEnd::Left
         }
-        (from_client, end) => {
-            let to_instance = match (from_client, end) {
-                (false, DirectionEnd::Sender(StreamEnd::Violation(condition))) => {
+        RelayEnd::FromClient(DirectionEnd::Receiver) | RelayEnd::FromInstance(DirectionEnd::Sender(_)) => {
+            let to_instance = match end {
+                RelayEnd::FromInstance(DirectionEnd::Sender(StreamEnd::Violation(condition))) => {
                     tracing::warn!("xmpp instance: {condition}; connection ended");
                     stream_error_xml(condition, "")
                 }
                 _ => String::new(),
             };
-            finish_both(
-                &broker,
-                client,
-                &(client_header + &stream_error_xml("remote-connection-failed", "the server has left")),
-                instance,
-                &to_instance,
-            )
-            .await;
+            let to_client =
+                client_header + &stream_error_xml("remote-connection-failed", "the server has left");
+            finish_both(&broker, client, &to_client, instance, &to_instance).await;
             announced_end.unwrap_or(ConnectionEnd::Broken)
         }
     }
 }
 
+/// Relays the rest of partly received stanzas in both directions, within a time limit.
+async fn finish_partial_units(
+    broker: &Rc<Broker>,
+    client: &mut XmppConnection,
+    instance: &mut XmppConnection,
+    timeout: Micros,
+) {
+    let completed = async {
+        tokio::join!(
+            finish_partial_unit(&mut client.reader, &mut instance.writer),
+            finish_partial_unit(&mut instance.reader, &mut client.writer)
+        );
+    };
+    tokio::select! {
+        () = completed => {}
+        // Only whole stanzas are queued, but the write of one may be stuck: nothing may follow it.
+        () = broker.sleep(timeout) => {}
+    }
+}
+
+/// Sends both sides the stream error that asks the client to reconnect, and closes both connections.
+async fn send_move(
+    front: &XmppFront,
+    client: &mut XmppConnection,
+    client_header: &str,
+    instance: &mut XmppConnection,
+) {
+    let client_error = match &front.settings.other_host {
+        Some(host) => {
+            let ns = "urn:ietf:params:xml:ns:xmpp-streams";
+            let host = super::escape_xml(host);
+            format!(
+                "<stream:error><see-other-host xmlns='{ns}'>{host}</see-other-host></stream:error>{CLOSE}"
+            )
+        }
+        None => stream_error_xml("system-shutdown", "please come again"),
+    };
+    let to_client = client_header.to_string() + &client_error;
+    let to_instance = stream_error_xml("system-shutdown", "");
+    finish_both(&front.broker, client, &to_client, instance, &to_instance).await;
+}
+
 /// Writes the last units to both sides and closes both connections.
 async fn finish_both(
     broker: &Rc<Broker>,
--- a/src/net/xmpp/stream.rs
+++ b/src/net/xmpp/stream.rs
@@ -1,10 +1,12 @@
 //! Reads and writes one XMPP stream. Bytes are split into whole units (headers, stanzas, white space), and only whole
 //! units are queued for writing, so a stream that is ended at any time is still well-formed.
 
+use crate::api::Micros;
 use crate::broker::Broker;
 use crate::net::buffer::Buffer;
 use rxml::error::EndOrError;
 use rxml::{Error, Event, Parse, Parser};
+use std::cell::Cell;
 use std::rc::Rc;
 use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadHalf, WriteHalf};
 
@@ -12,6 +14,8 @@
 pub const STREAMS: &str = "http://etherx.jabber.org/streams";
 /// XML namespace of SASL.
 pub const SASL: &str = "urn:ietf:params:xml:ns:xmpp-sasl";
+/// XML namespace of stream management (XEP-0198).
+pub const STREAM_MANAGEMENT: &str = "urn:xmpp:sm:3";
 /// XML namespace of STARTTLS.
 pub const TLS: &str = "urn:ietf:params:xml:ns:xmpp-tls";
 /// Closing tag of a stream.
@@ -191,13 +195,21 @@
     unit_started: Option<u64>,
     limits: StreamLimits,
     broker: Rc<Broker>,
+    /// When bytes were last received; 0 before that.
+    last_received: Rc<Cell<Micros>>,
 }
 
 impl<R: AsyncRead + Unpin> Reader<R> {
     /// Returns a reader that has read nothing.
     pub fn new(half: R, limits: StreamLimits, broker: &Rc<Broker>) -> Reader<R> {
         let (buffer, framer) = (Buffer::default(), Framer::new());
-        Reader { half, buffer, framer, unit_started: None, limits, broker: broker.clone() }
+        let (broker, last_received) = (broker.clone(), Rc::default());
+        Reader { half, buffer, framer, unit_started: None, limits, broker, last_received }
+    }
+
+    /// Returns when bytes were last received, kept up to date while the reader is in use elsewhere.
+    pub fn last_received(&self) -> Rc<Cell<Micros>> {
+        self.last_received.clone()
     }
 
     /// Returns the next unit and its bytes. Cancel-safe: no bytes are lost if the future is dropped.
@@ -221,7 +233,9 @@
                 biased;
                 read = self.buffer.read_from(&mut self.half, self.limits.max_unit_bytes) => match read {
                     Ok(n) if n > 0 => {
-                        self.unit_started.get_or_insert_with(|| self.broker.now());
+                        let now = self.broker.now();
+                        self.last_received.set(now);
+                        self.unit_started.get_or_insert(now);
                     }
                     _ => return Err(StreamEnd::Disconnected),
                 },
