Let all waits of moved connections share the time until the kill

Cause: 1 s for the stanza and 1 s for the peer's close, each counted from its own beginning, behind a schedule of moves that ends 0.7 s before the kill. Fix: one budget beside the schedule (drain.rs): closed 0.6 s after the last move, 0.3 s of it kept for the goodbye. Both fronts ask data_wait and close_wait, which give each wait what is left, 0.1 s at least.

--- a/src/broker/drain.rs
+++ b/src/broker/drain.rs
@@ -18,6 +18,14 @@
 /// Time from the start of a drain to its last move. The platform counts connections that remain after 4 s as lost.
 const DRAIN_DURATION: Micros = 3_000_000;
 
+/// Time after the last move in which moved connections are closed. The process may be killed 0.7 s after the last move.
+const CLOSE_GRACE: Micros = 600_000;
+/// Part of [`CLOSE_GRACE`] that is kept for the last message to the client and the close, when data in flight is waited
+/// for.
+const CLOSE_RESERVE: Micros = 300_000;
+/// Time that a connection is given in any case.
+const MIN_WAIT: Micros = 100_000;
+
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 enum State {
     #[default]
@@ -116,6 +124,32 @@
         }
     }
 
+    /// Returns until when a connection that is being moved may wait for data in flight, up to `timeout`. All such waits
+    /// share the time that is left until the process may be killed.
+    pub fn end_of_data_wait(&self, now: Micros, timeout: Micros) -> Micros {
+        self.end_of_wait(now, timeout, CLOSE_GRACE - CLOSE_RESERVE)
+    }
+
+    /// Returns until when a connection may wait for its peer to close, up to `timeout`.
+    pub fn end_of_close_wait(&self, now: Micros, timeout: Micros) -> Micros {
+        self.end_of_wait(now, timeout, CLOSE_GRACE)
+    }
+
+    fn end_of_wait(&self, now: Micros, timeout: Micros, grace: Micros) -> Micros {
+        let full = now.saturating_add(timeout);
+        let budget_end = self.schedule.end.saturating_add(grace);
+        let is_bounded = match self.state {
+            State::Serving => false,
+            // Clients that come after the end of a drain are not in its schedule, and the process goes on.
+            State::Draining => now <= self.schedule.end.saturating_add(CLOSE_GRACE),
+            State::ShuttingDown { .. } => true,
+        };
+        if !is_bounded {
+            return full;
+        }
+        full.min(budget_end.max(now.saturating_add(MIN_WAIT)))
+    }
+
     fn schedule_moves(&mut self, from: Micros, end: Micros) {
         self.schedule = MoveSchedule { from, end, counted_until: from, fraction: 0.0 };
     }
@@ -208,6 +242,34 @@
             }
         }
 
+        /// All waits of a shutdown or drain end before the kill, which comes 0.7 s after the last move, and none is longer
+        /// than without one.
+        #[test]
+        fn waits_of_moved_connections_end_before_the_kill(
+            moved_after in 0u64..3_000_000,
+            timeout in 0u64..5_000_000,
+            shuts_down: bool,
+        ) {
+            let mut drain = Drain::default();
+            let (begun, end) = (1_000_000, 4_000_000);
+            prop_assert_eq!(drain.end_of_data_wait(begun, timeout), begun + timeout);
+            if shuts_down {
+                drain.shut_down(begun, end);
+            } else {
+                drain.start_drain(begun);
+            }
+            let moved_at = begun + moved_after;
+            let sent_at = drain.end_of_data_wait(moved_at, timeout);
+            prop_assert!((moved_at..=moved_at + timeout).contains(&sent_at));
+            let closed_at = drain.end_of_close_wait(sent_at, timeout);
+            prop_assert!((sent_at..=sent_at + timeout).contains(&closed_at));
+            prop_assert!(sent_at <= end + 300_000 && closed_at < end + 700_000, "{} {}", sent_at, closed_at);
+            // Without a kill ahead, clients that come later wait as usual.
+            let late = end + CLOSE_GRACE + 1;
+            let waits_in_full = drain.end_of_data_wait(late, timeout) == late + timeout;
+            prop_assert_eq!(waits_in_full, !shuts_down || timeout <= MIN_WAIT);
+        }
+
         /// Guards against a burst of moves: no step moves more than twice the even share while no client connects.
         #[test]
         fn moves_are_spread_evenly(established in 1usize..2_000) {
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -518,6 +518,18 @@
         self.drain.borrow().passes_health_checks()
     }
 
+    /// Returns a future that completes when a connection that is being moved may no longer wait for data in flight: after
+    /// `timeout`, sooner when the process is about to be killed.
+    pub fn data_wait(&self, timeout: Micros) -> Sleep {
+        self.sleep_until(self.drain.borrow().end_of_data_wait(self.now(), timeout))
+    }
+
+    /// Returns a future that completes when a connection may no longer wait for its peer to close: after `timeout`, sooner
+    /// when the process is about to be killed.
+    pub fn close_wait(&self, timeout: Micros) -> Sleep {
+        self.sleep_until(self.drain.borrow().end_of_close_wait(self.now(), timeout))
+    }
+
     /// Returns the established connections, for the handover to the next process.
     pub fn established_connections(&self) -> Vec<HandedOverConnection> {
         self.state.borrow().core.established_connections(self.now())
--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -249,7 +249,7 @@
     };
     tokio::select! {
         () = written => {}
-        () = broker.sleep(FLUSH_TIMEOUT) => {}
+        () = broker.close_wait(FLUSH_TIMEOUT) => {}
     }
 }
 
@@ -264,7 +264,7 @@
     if !down.wants_write() {
         tokio::select! {
             _ = client.write_all(b"MOVE\r\n") => {}
-            () = broker.sleep(FLUSH_TIMEOUT) => {}
+            () = broker.close_wait(FLUSH_TIMEOUT) => {}
         }
     }
     ConnectionEnd::Left
--- a/src/net/xmpp/relay.rs
+++ b/src/net/xmpp/relay.rs
@@ -145,7 +145,7 @@
             let answered = relay_units(&mut instance.reader, &mut client.writer, |_| ());
             tokio::select! {
                 _ = answered => {}
-                () = broker.sleep(stanza_timeout) => {}
+                () = broker.close_wait(stanza_timeout) => {}
             }
             finish_both(&broker, client, "", instance, "").await;
             ConnectionEnd::Left
@@ -154,7 +154,7 @@
             let answered = relay_units(&mut client.reader, &mut instance.writer, |_| ());
             tokio::select! {
                 _ = answered => {}
-                () = broker.sleep(CLOSE_TIMEOUT) => {}
+                () = broker.close_wait(CLOSE_TIMEOUT) => {}
             }
             finish_both(&broker, client, "", instance, "").await;
             announced_end.unwrap_or(ConnectionEnd::Served)
@@ -202,7 +202,7 @@
     tokio::select! {
         () = completed => {}
         // Only whole stanzas are queued, but the write of one may be stuck: nothing may follow it.
-        () = broker.sleep(timeout) => {}
+        () = broker.data_wait(timeout) => {}
     }
 }
 
--- a/src/net/xmpp/stream.rs
+++ b/src/net/xmpp/stream.rs
@@ -355,8 +355,9 @@
             }
         };
         tokio::select! {
+            biased;
             () = finished => {}
-            () = broker.sleep(timeout) => {}
+            () = broker.close_wait(timeout) => {}
         }
     }
 }
--- /dev/null
+++ b/tests/xmpp_restart.rs
@@ -0,0 +1,90 @@
+//! Planned restarts with XMPP clients that are in the middle of a stanza: everyone is told to come again before the
+//! process may be killed.
+
+mod peers;
+use base64::Engine;
+use peers::*;
+use std::sync::mpsc::channel;
+use std::thread;
+use std::time::{Duration, Instant};
+
+const OPENING: &str =
+    "<?xml version='1.0'?><stream:stream to='desk.example' version='1.0' xmlns='jabber:client' \
+                       xmlns:stream='http://etherx.jabber.org/streams'>";
+const FEATURES: &str = "<stream:features><mechanisms xmlns='urn:ietf:params:xml:ns:xmpp-sasl'>\
+                        <mechanism>PLAIN</mechanism></mechanisms></stream:features>";
+const SUCCESS: &str = "<success xmlns='urn:ietf:params:xml:ns:xmpp-sasl'/>";
+/// Clients of all balancers together; every third one has sent half a stanza.
+const CLIENTS: usize = 100;
+const BALANCERS: usize = 3;
+/// Earliest time of SIGKILL after SIGTERM: the longest deadline, which counts as 3 s, and 0.7 s.
+const KILL_DELAY: Duration = Duration::from_millis(3_700);
+
+/// Starts a server that logs every client in and then reads all that comes.
+fn server() -> std::net::SocketAddr {
+    spawn_instance(|mut peer| {
+        peer.receive_until("version='1.0'");
+        peer.receive_until(">");
+        peer.send_text(OPENING).send_text(FEATURES).receive_until("</auth>");
+        peer.send_text(SUCCESS).receive_until("/streams'>");
+        peer.send_text(OPENING).send_text("<stream:features/>").receive_rest();
+    })
+}
+
+fn establish(balancer: &Balancer, user: usize) -> LineConnection {
+    let credentials = base64::engine::general_purpose::STANDARD.encode(format!("\0u{user}\0secret"));
+    let mut client = LineConnection::connect(balancer.xmpp_address.unwrap());
+    client.send_text(OPENING).receive_until("</stream:features>");
+    client.send_text(&format!(
+        "<auth xmlns='urn:ietf:params:xml:ns:xmpp-sasl' mechanism='PLAIN'>{credentials}</auth>"
+    ));
+    client.receive_until(SUCCESS);
+    client.send_text(OPENING).receive_until("<stream:features/>");
+    client
+}
+
+/// Reads up to the stream error and the end of the connection. Returns when the stream had ended.
+fn read_goodbye(mut client: LineConnection) -> (String, Instant) {
+    let last = client.receive_rest();
+    (last, Instant::now())
+}
+
+/// Restarts three balancers one after another. `OAKDEAL_RESTART_ROUNDS` sets how often, once by default.
+#[test]
+fn every_xmpp_client_is_told_to_come_again_before_the_kill() {
+    let rounds: usize = std::env::var("OAKDEAL_RESTART_ROUNDS").map_or(1, |rounds| rounds.parse().unwrap());
+    let server = server();
+    let operator = format!(
+        "[xmpp]\nlisten = \"127.0.0.1:0\"\n[xmpp.instances]\n\"s-00000001\" = \"{server}\"\n\
+         [[xmpp.service]]\ndomain = \"desk.example\"\nclass = \"watch\"\ngroup = \"jid\"\n"
+    );
+    let list = [list_entry("s-00000001", closed_address(), "ready")];
+    let settings = SETTINGS.replace("\"DeadlineMs\":2000", "\"DeadlineMs\":4800");
+    let discovery = Discovery::without_updates();
+    let start = || Balancer::start_with(&discovery, &list, Some(&operator), &settings, "text");
+    let mut balancers: Vec<Balancer> = (0..BALANCERS).map(|_| start()).collect();
+    for _ in 0..rounds {
+        for (number, balancer) in balancers.iter_mut().enumerate() {
+            let (goodbye_sender, goodbyes) = channel();
+            let users: Vec<usize> = (number..CLIENTS).step_by(BALANCERS).collect();
+            for (i, user) in users.iter().enumerate() {
+                let mut client = establish(balancer, *user);
+                if i % 3 == 0 {
+                    client.send_text("<message to='other@desk.example'><body>half");
+                }
+                let goodbye_sender = goodbye_sender.clone();
+                thread::spawn(move || goodbye_sender.send(read_goodbye(client)));
+            }
+            balancer.terminate();
+            let terminated_at = Instant::now();
+            for _ in users {
+                let (last, at) = goodbyes.recv().unwrap();
+                assert!(last.contains("<stream:error><system-shutdown"), "{last:?}");
+                assert!(last.ends_with("</stream:stream>"), "{last:?}");
+                let waited = at - terminated_at;
+                assert!(waited < KILL_DELAY, "{waited:?}");
+            }
+            *balancer = start();
+        }
+    }
+}
