--- a/tests/peers/mod.rs
+++ b/tests/peers/mod.rs
@@ -2,6 +2,8 @@
 //! process under test. Every wait is for an event; the timeouts only end a test that would otherwise hang.
 #![allow(dead_code)]
 
+pub mod xmpp;
+
 use command_fds::{CommandFdExt, FdMapping};
 use socket2::{Domain, Socket, Type};
 use std::io::{BufRead, BufReader, Read, Write};
--- a/tests/xmpp.rs
+++ b/tests/xmpp.rs
@@ -2,7 +2,7 @@
 //! servers.
 
 mod peers;
-use base64::Engine;
+use peers::xmpp::{auth, establish, log_in, FEATURES, OPENING, SUCCESS};
 use peers::*;
 use std::io::{Read, Write};
 use std::net::SocketAddr;
@@ -11,18 +11,6 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-const OPENING: &str =
-    "<?xml version='1.0'?><stream:stream to='desk.example' version='1.0' xmlns='jabber:client' \
-                       xmlns:stream='http://etherx.jabber.org/streams'>";
-const FEATURES: &str = "<stream:features><mechanisms xmlns='urn:ietf:params:xml:ns:xmpp-sasl'>\
-                        <mechanism>PLAIN</mechanism></mechanisms></stream:features>";
-const SUCCESS: &str = "<success xmlns='urn:ietf:params:xml:ns:xmpp-sasl'/>";
-
-fn auth(user: &str) -> String {
-    let credentials = base64::engine::general_purpose::STANDARD.encode(format!("\0{user}\0secret"));
-    format!("<auth xmlns='urn:ietf:params:xml:ns:xmpp-sasl' mechanism='PLAIN'>{credentials}</auth>")
-}
-
 fn failure(condition: &str) -> String {
     format!("<failure xmlns='urn:ietf:params:xml:ns:xmpp-sasl'><{condition}/></failure>")
 }
@@ -75,22 +63,6 @@
     )
 }
 
-/// Opens a stream and sends a login.
-fn log_in(balancer: &Balancer, user: &str) -> LineConnection {
-    let mut client = LineConnection::connect(balancer.xmpp_address.unwrap());
-    client.send_text(OPENING).receive_until("</stream:features>");
-    client.send_text(&auth(user));
-    client
-}
-
-/// Logs in and opens the new stream, up to its features.
-fn establish(balancer: &Balancer, user: &str) -> LineConnection {
-    let mut client = log_in(balancer, user);
-    client.receive_until(SUCCESS);
-    client.send_text(OPENING).receive_until("<stream:features/>");
-    client
-}
-
 /// Guards against a process with an inherited line socket that exits while XMPP clients are still connected.
 #[test]
 fn a_terminating_process_with_an_inherited_socket_also_waits_for_xmpp_clients() {
--- a/tests/xmpp_restart.rs
+++ b/tests/xmpp_restart.rs
@@ -2,18 +2,12 @@
 //! process may be killed.
 
 mod peers;
-use base64::Engine;
+use peers::xmpp::{accept_login, establish, OPENING};
 use peers::*;
 use std::sync::mpsc::channel;
 use std::thread;
 use std::time::{Duration, Instant};
 
-const OPENING: &str =
-    "<?xml version='1.0'?><stream:stream to='desk.example' version='1.0' xmlns='jabber:client' \
-                       xmlns:stream='http://etherx.jabber.org/streams'>";
-const FEATURES: &str = "<stream:features><mechanisms xmlns='urn:ietf:params:xml:ns:xmpp-sasl'>\
-                        <mechanism>PLAIN</mechanism></mechanisms></stream:features>";
-const SUCCESS: &str = "<success xmlns='urn:ietf:params:xml:ns:xmpp-sasl'/>";
 /// Clients of all balancers together; every third one has sent half a stanza.
 const CLIENTS: usize = 100;
 const BALANCERS: usize = 3;
@@ -23,26 +17,11 @@
 /// Starts a server that logs every client in and then reads all that comes.
 fn server() -> std::net::SocketAddr {
     spawn_instance(|mut peer| {
-        peer.receive_until("version='1.0'");
-        peer.receive_until(">");
-        peer.send_text(OPENING).send_text(FEATURES).receive_until("</auth>");
-        peer.send_text(SUCCESS).receive_until("/streams'>");
+        accept_login(&mut peer);
         peer.send_text(OPENING).send_text("<stream:features/>").receive_rest();
     })
 }
 
-fn establish(balancer: &Balancer, user: usize) -> LineConnection {
-    let credentials = base64::engine::general_purpose::STANDARD.encode(format!("\0u{user}\0secret"));
-    let mut client = LineConnection::connect(balancer.xmpp_address.unwrap());
-    client.send_text(OPENING).receive_until("</stream:features>");
-    client.send_text(&format!(
-        "<auth xmlns='urn:ietf:params:xml:ns:xmpp-sasl' mechanism='PLAIN'>{credentials}</auth>"
-    ));
-    client.receive_until(SUCCESS);
-    client.send_text(OPENING).receive_until("<stream:features/>");
-    client
-}
-
 /// Reads up to the stream error and the end of the connection. Returns when the stream had ended.
 fn read_goodbye(mut client: LineConnection) -> (String, Instant) {
     let last = client.receive_rest();
@@ -68,7 +47,7 @@
             let (goodbye_sender, goodbyes) = channel();
             let users: Vec<usize> = (number..CLIENTS).step_by(BALANCERS).collect();
             for (i, user) in users.iter().enumerate() {
-                let mut client = establish(balancer, *user);
+                let mut client = establish(balancer, &format!("u{user}"));
                 if i % 3 == 0 {
                     client.send_text("<message to='other@desk.example'><body>half");
                 }
--- a/tests/xmpp_silence.rs
+++ b/tests/xmpp_silence.rs
@@ -1,19 +1,13 @@
 //! Silence of XMPP servers on standing connections: who is sent away from a server that answers nothing, and who stays.
 
 mod peers;
-use base64::Engine;
+use peers::xmpp::{accept_login, log_in_and_reopen, OPENING};
 use peers::*;
 use std::net::SocketAddr;
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-const OPENING: &str =
-    "<?xml version='1.0'?><stream:stream to='desk.example' version='1.0' xmlns='jabber:client' \
-                       xmlns:stream='http://etherx.jabber.org/streams'>";
-const FEATURES: &str = "<stream:features><mechanisms xmlns='urn:ietf:params:xml:ns:xmpp-sasl'>\
-                        <mechanism>PLAIN</mechanism></mechanisms></stream:features>";
-const SUCCESS: &str = "<success xmlns='urn:ietf:params:xml:ns:xmpp-sasl'/>";
 /// A request that the server itself answers (XEP-0199).
 const PING: &str = "<iq type='get' id='p'><ping xmlns='urn:xmpp:ping'/></iq>";
 /// Longer than a working server may take to answer.
@@ -32,10 +26,7 @@
         let (connection_sender, connections) = channel();
         let connection_sender: Arc<Mutex<Sender<LineConnection>>> = Arc::new(Mutex::new(connection_sender));
         let address = spawn_instance(move |mut peer| {
-            peer.receive_until("version='1.0'");
-            peer.receive_until(">");
-            peer.send_text(OPENING).send_text(FEATURES).receive_until("</auth>");
-            peer.send_text(SUCCESS).receive_until("/streams'>");
+            accept_login(&mut peer);
             let _ = connection_sender.lock().unwrap().send(peer);
         });
         ScriptedServer { address, connections }
@@ -51,14 +42,7 @@
 impl Established {
     /// Logs in and sends the header of the new stream, which the server has received but not answered.
     fn with_unanswered_header(balancer: &Balancer, server: &ScriptedServer, user: &str) -> Established {
-        let credentials = base64::engine::general_purpose::STANDARD.encode(format!("\0{user}\0secret"));
-        let mut client = LineConnection::connect(balancer.xmpp_address.unwrap());
-        client.send_text(OPENING).receive_until("</stream:features>");
-        client.send_text(&format!(
-            "<auth xmlns='urn:ietf:params:xml:ns:xmpp-sasl' mechanism='PLAIN'>{credentials}</auth>"
-        ));
-        client.receive_until(SUCCESS);
-        client.send_text(OPENING);
+        let client = log_in_and_reopen(balancer, user);
         Established { client, server: server.connections.recv().unwrap() }
     }
 
