--- a/tests/discovery.rs
+++ b/tests/discovery.rs
@@ -13,6 +13,11 @@
     format!("{LIST}?watch=1&from={from}")
 }
 
+/// Settings of a balancer whose lists are pushed.
+fn settings_with_pushed_lists() -> String {
+    SETTINGS.replace("\"subscribe\"", "\"push\"")
+}
+
 /// A balancer that watches a first discovery service, at which every script begins. The list holds one ready instance.
 struct Fixture {
     first: Discovery,
@@ -22,12 +27,18 @@
 }
 
 impl Fixture {
+    /// Starts the balancer with lists that are asked for.
     fn new() -> Fixture {
+        Fixture::with_settings(SETTINGS)
+    }
+
+    fn with_settings(settings: &str) -> Fixture {
         let (reports, _) = channel();
         let instance = echo_instance("a", reports);
         let first = Discovery::without_updates();
         let list = [list_entry("s-00000001", instance, "ready")];
-        let balancer = Balancer::start_with_admin(&first, &list, None);
+        let start = StartOptions { settings, with_admin: true, ..StartOptions::default() };
+        let balancer = Balancer::launch(&first, &list, start).wait_until_serving();
         assert!(first.next_request().starts_with(&watch_request(1)));
         let address = first.address;
         Fixture { first, balancer, instance, address }
@@ -76,22 +87,24 @@
 /// address nor its own watch, and its version is not one of the newest address.
 #[test]
 fn a_late_list_of_an_earlier_address_leaves_both_addresses_watched() {
-    let (second, third) = (HeldDiscovery::new(), HeldDiscovery::new());
-    let mut fixture = Fixture::new();
-    fixture.move_discovery(second.address);
-    let late = second.expect_call(LIST);
-    fixture.move_discovery(third.address);
-    third.expect_call(LIST).refuse();
-    fixture.balancer.wait_for_log(&format!("the watch at {} ended", third.address));
-    late.answer_list(50, &[fixture.entry("ready")]);
-    let mut watch = second.expect_call(&watch_request(50));
-    watch.open_watch();
-    // The newest address is called for its whole list: version 50 is not one of its versions.
-    third.expect_call(LIST).answer_list(7, &[fixture.entry("ready")]);
-    let mut newest = third.expect_call(&watch_request(7));
-    newest.open_watch();
-    watch.expect_closed();
-    fixture.await_metrics(&["lb.discovery_watching:1|g", "lb.discovery_list_version:7|g"]);
+    for settings in [SETTINGS.to_string(), settings_with_pushed_lists()] {
+        let (second, third) = (HeldDiscovery::new(), HeldDiscovery::new());
+        let mut fixture = Fixture::with_settings(&settings);
+        fixture.move_discovery(second.address);
+        let late = second.expect_call(LIST);
+        fixture.move_discovery(third.address);
+        third.expect_call(LIST).refuse();
+        fixture.balancer.wait_for_log(&format!("the watch at {} ended", third.address));
+        late.answer_list(50, &[fixture.entry("ready")]);
+        let mut watch = second.expect_call(&watch_request(50));
+        watch.open_watch();
+        // The newest address is called for its whole list: version 50 is not one of its versions.
+        third.expect_call(LIST).answer_list(7, &[fixture.entry("ready")]);
+        let mut newest = third.expect_call(&watch_request(7));
+        newest.open_watch();
+        watch.expect_closed();
+        fixture.await_metrics(&["lb.discovery_watching:1|g", "lb.discovery_list_version:7|g"]);
+    }
 }
 
 /// The end of a watch of an earlier address that has sent its list late leaves the next call at the newest one due.
@@ -114,22 +127,24 @@
 /// Updates of an earlier address that goes on for ever do not stand for a watch at the newest one.
 #[test]
 fn updates_of_an_earlier_address_do_not_end_the_calls_for_the_newest() {
-    let second = HeldDiscovery::new();
-    let mut fixture = Fixture::new();
-    fixture.first.keep_watch_alive();
-    fixture.move_discovery(second.address);
-    for index in 2..5 {
-        second.expect_call(LIST).refuse();
-        fixture.balancer.wait_for_log(&format!("the watch at {} ended", second.address));
-        let name = format!("s-0000000{index}");
-        fixture.first.push(&watch_line(index, &[list_entry(&name, closed_address(), "ready")]));
-        fixture.balancer.wait_for_log(&name);
+    for settings in [SETTINGS.to_string(), settings_with_pushed_lists()] {
+        let second = HeldDiscovery::new();
+        let mut fixture = Fixture::with_settings(&settings);
+        fixture.first.keep_watch_alive();
+        fixture.move_discovery(second.address);
+        for index in 2..5 {
+            second.expect_call(LIST).refuse();
+            fixture.balancer.wait_for_log(&format!("the watch at {} ended", second.address));
+            let name = format!("s-0000000{index}");
+            fixture.first.push(&watch_line(index, &[list_entry(&name, closed_address(), "ready")]));
+            fixture.balancer.wait_for_log(&name);
+        }
+        second.expect_call(LIST).answer_list(1, &[fixture.entry("ready")]);
+        let mut watch = second.expect_call(&watch_request(1));
+        watch.open_watch();
+        fixture.balancer.wait_for_log("s-00000004 is no longer listed");
+        fixture.await_metrics(&["lb.discovery_watching:1|g", "lb.discovery_list_version:1|g"]);
     }
-    second.expect_call(LIST).answer_list(1, &[fixture.entry("ready")]);
-    let mut watch = second.expect_call(&watch_request(1));
-    watch.open_watch();
-    fixture.balancer.wait_for_log("s-00000004 is no longer listed");
-    fixture.await_metrics(&["lb.discovery_watching:1|g", "lb.discovery_list_version:1|g"]);
 }
 
 /// An address that returns is a new one: its whole list counts, also with a lower version, and the calls at the address
