--- a/src/broker/command.rs
+++ b/src/broker/command.rs
@@ -12,6 +12,7 @@
 /// Time from `UP` within which the first `LOAD` value is the connection's load. An idle connection reports no load, so
 /// at an overloaded instance a later first value may be a message delay.
 const OPENING_LOAD_WINDOW: Micros = 50_000;
+
 /// Runs a command from its arrival to its final answer, and on to the end of its connection if one is established.
 pub async fn run_command<C, D>(
     broker: &Rc<Broker>,
--- a/src/broker/drain.rs
+++ b/src/broker/drain.rs
@@ -2,7 +2,8 @@
 //!
 //! Guaranteed: while the balancer drains or shuts down, every established connection is selected for a move by the end
 //! of the drain or shutdown, spread evenly over that time. Connections that are established after the end are selected
-//! at once. Not guaranteed: that a client that is asked to move disconnects.
+//! at once. The waits of moved connections end before the process may be killed. Not guaranteed: that a client that is
+//! asked to move disconnects.
 //!
 //! | state | LEAVE | JOIN | SIGTERM |
 //! | --- | --- | --- | --- |
--- a/src/broker/silence.rs
+++ b/src/broker/silence.rs
@@ -14,9 +14,10 @@
 pub const SILENCE_TIMEOUT: Micros = 4_500_000;
 /// The same limit while the instance returns messages on other connections: then only this connection has stopped.
 const SINGLE_SILENCE_TIMEOUT: Micros = 3_000_000;
-/// Interval at which an unanswered message is checked, and shortest silence that is reported.
+/// Interval at which an unanswered message is checked.
 const CHECK_INTERVAL: Micros = 1_000_000;
-/// Shortest time between two reports of slow messages for one instance, as the decision module's `DelayNote` expects.
+/// Shortest silence that is reported, and shortest time between two reports of slow messages for one instance, as the
+/// decision module's `DelayNote` expects.
 pub(super) const SLOW_REPORT_INTERVAL: Micros = 1_000_000;
 /// Most messages whose answer is timed at once; further ones are relayed without timing.
 const MAX_TIMED_MESSAGES: usize = 64;
@@ -79,27 +80,32 @@
         Some((pending.last_check.max(oldest) + CHECK_INTERVAL).min(oldest + SILENCE_TIMEOUT))
     }
 
-    /// Reports a silence, if there is one. Returns its length if the connection is to be ended for it.
-    pub fn check(&self, now: Micros) -> Option<Micros> {
+    /// Reports a silence, if there is one. Returns whether the connection is to be ended for it.
+    pub fn check(&self, now: Micros) -> bool {
         let oldest = {
             let mut pending = self.pending.borrow_mut();
             pending.last_check = now;
-            *pending.sent_at.front()?
+            pending.sent_at.front().copied()
         };
+        let Some(oldest) = oldest else { return false };
         let silence = now.saturating_sub(oldest);
-        self.report_silence(silence).then_some(silence)
+        let is_exceeded = self.report_silence(silence);
+        if is_exceeded {
+            tracing::info!("a connection brought nothing back for {} ms: moved", silence / 1000);
+        }
+        is_exceeded
     }
 
-    /// Completes when the connection is to be ended for silence, with the length of the silence. `last_activity` returns
-    /// when the instance last sent anything, also a part of a message.
-    pub async fn exceeded(&self, last_activity: impl Fn() -> Micros) -> Micros {
+    /// Completes when the connection is to be ended for silence. `last_activity` returns when the instance last sent
+    /// anything, also a part of a message.
+    pub async fn exceeded(&self, last_activity: impl Fn() -> Micros) {
         loop {
             let next_check = self.next_check().unwrap_or(Micros::MAX);
             tokio::select! {
                 () = self.broker.sleep_until(next_check) => {
                     self.record_activity(last_activity());
-                    if let Some(silence) = self.check(self.broker.now()) {
-                        return silence;
+                    if self.check(self.broker.now()) {
+                        return;
                     }
                 }
                 () = self.message_sent.notified() => {}
--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -18,6 +18,7 @@
 const FLUSH_TIMEOUT: Micros = 1_000_000;
 /// Most bytes read and dropped from a client after its last line was written.
 const MAX_DRAINED_BYTES: usize = 64 * MAX_LINE_BYTES;
+
 /// One direction of a relay: from the buffer of one link to the stream of the other.
 #[derive(Default)]
 struct Direction {
@@ -189,8 +190,7 @@
                 if silence.next_check().is_none() {
                     return ConnectionEnd::Left;
                 }
-                if let Some(span) = silence.check(broker.now()) {
-                    tracing::info!("a connection brought nothing back for {} ms: moved", span / 1000);
+                if silence.check(broker.now()) {
                     return send_move(&broker, client, &mut down, &mut instance).await;
                 }
                 continue;
--- a/src/net/xmpp/relay.rs
+++ b/src/net/xmpp/relay.rs
@@ -80,8 +80,8 @@
 enum RelayEnd {
     /// The client is to be moved.
     MoveRequested,
-    /// The instance has been silent for this time.
-    Silent(Micros),
+    /// The instance has been silent for too long.
+    Silent,
     /// The direction from the client has ended.
     FromClient(DirectionEnd),
     /// The direction from the instance has ended.
@@ -125,7 +125,7 @@
             () = command.move_requested() => RelayEnd::MoveRequested,
             end = up => RelayEnd::FromClient(end),
             end = down => RelayEnd::FromInstance(end),
-            span = silence.exceeded(|| last_received.get()) => RelayEnd::Silent(span),
+            () = silence.exceeded(|| last_received.get()) => RelayEnd::Silent,
         }
     };
     let client_header = if header_sent { String::new() } else { front.stream_header("", "") };
@@ -135,8 +135,8 @@
             send_move(front, client, &client_header, instance).await;
             ConnectionEnd::Left
         }
-        RelayEnd::Silent(span) => {
-            tracing::info!("a connection brought nothing back for {} ms: moved", span / 1000);
+        // A silent instance takes the rest of no stanza.
+        RelayEnd::Silent => {
             send_move(front, client, &client_header, instance).await;
             ConnectionEnd::Left
         }
