--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -1,5 +1,5 @@
 //! Planned restarts, one balancer after another, while half of the session servers hang: is every request answered?
-#[path = "../stand-2/common.rs"]
+#[path = "../common-2.rs"]
 mod common;
 use common::*;
 use std::path::Path;
