Review: a case that cannot run ends all that it started

Cause: the exit with 2 skipped the clean-up; two balancers of a run that another command had disturbed were left behind. Change: such an end unwinds to one place, which then exits with 2.

--- a/review/6/case.rs
+++ b/review/6/case.rs
@@ -2,7 +2,6 @@
 #[path = "../common-2.rs"]
 mod common;
 use common::*;
-use std::path::Path;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Instant;
@@ -32,10 +31,7 @@
 }
 
 fn main() {
-    let folder_of_case = std::env::args().nth(1).unwrap_or_else(|| cannot_run("usage: case FOLDER"));
-    let record = Record::new(&Path::new(&folder_of_case).join("record.txt"));
-    let broken = play(&record);
-    std::process::exit(verdict(&record, &broken));
+    run_case(play)
 }
 
 fn play(record: &Record) -> Vec<String> {
--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -4,7 +4,6 @@
 use common::*;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
-use std::path::Path;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Instant;
@@ -27,10 +26,7 @@
 type Broken = Arc<Mutex<Vec<String>>>;
 
 fn main() {
-    let folder_of_case = std::env::args().nth(1).unwrap_or_else(|| cannot_run("usage: case FOLDER"));
-    let record = Record::new(&Path::new(&folder_of_case).join("record.txt"));
-    let broken = play(&record);
-    std::process::exit(verdict(&record, &broken));
+    run_case(play)
 }
 
 fn play(record: &Record) -> Vec<String> {
--- a/review/9/case.rs
+++ b/review/9/case.rs
@@ -4,7 +4,6 @@
 use common::*;
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::path::Path;
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
@@ -22,10 +21,7 @@
 type Broken = Arc<Mutex<Vec<String>>>;
 
 fn main() {
-    let folder_of_case = std::env::args().nth(1).unwrap_or_else(|| cannot_run("usage: case FOLDER"));
-    let record = Record::new(&Path::new(&folder_of_case).join("record.txt"));
-    let broken = play(&record);
-    std::process::exit(verdict(&record, &broken));
+    run_case(play)
 }
 
 fn play(record: &Record) -> Vec<String> {
--- a/review/common-2.rs
+++ b/review/common-2.rs
@@ -40,9 +40,21 @@
     }
 }
 
+/// Ends the case with 2. Unwinds to [`run_case`], so that everything that was started is ended on the way.
 pub fn cannot_run(why: &str) -> ! {
     eprintln!("cannot run: {why}");
-    std::process::exit(2)
+    std::panic::resume_unwind(Box::new("cannot run"))
+}
+
+/// Plays a case with its record in the folder that the first argument names, and ends with its exit code.
+pub fn run_case(play: fn(&Record) -> Vec<String>) -> ! {
+    let code = std::panic::catch_unwind(|| {
+        let folder = std::env::args().nth(1).unwrap_or_else(|| cannot_run("usage: case FOLDER"));
+        let record = Record::new(&Path::new(&folder).join("record.txt"));
+        let broken = play(&record);
+        verdict(&record, &broken)
+    });
+    std::process::exit(code.unwrap_or(2))
 }
 
 // ---------------------------------------------------------------- discovery
