--- a/src/broker/command.rs
+++ b/src/broker/command.rs
@@ -59,7 +59,7 @@
             // two are never outstanding.
             gone = client.wait_gone() => return command.client_gone(gone, client).await,
             result = dialer.execute(&execution) => result,
-            () = broker.sleep_until(execution.deadline) => Err(Outcome::Timeout),
+            () = broker.request_deadline(execution.deadline) => Err(Outcome::Timeout),
         };
         match result {
             Ok(link) => break link,
@@ -110,7 +110,7 @@
             biased;
             gone = client.wait_gone() => return answer_gone_client(gone, client).await,
             result = attempt_or_delay => if let Some(link) = result { break link },
-            () = broker.sleep_until(until) => return client.fail(Failure::Deadline).await,
+            () = broker.request_deadline(until) => return client.fail(Failure::Deadline).await,
         }
     };
     command_metrics.record_result(CommandResult::Completed);
@@ -165,7 +165,7 @@
         let instruction = tokio::select! {
             biased;
             instruction = self.instructions.recv() => instruction,
-            () = self.broker.sleep_until(self.deadline) => {
+            () = self.broker.request_deadline(self.deadline) => {
                 self.deadline_passed = true;
                 None
             }
--- a/src/broker/core.rs
+++ b/src/broker/core.rs
@@ -171,6 +171,11 @@
         Ok(())
     }
 
+    /// Limits the deadlines of the requests that have no answer yet, for a shutdown.
+    pub fn limit_deadlines(&mut self, limit: Micros) {
+        self.policy.limit_deadlines(limit);
+    }
+
     /// Withdraws an admitted request that is not started.
     pub fn withdraw(&mut self, now: Micros, call: &CallId) {
         self.release(now, call, EndReason::NotEstablished);
--- a/src/broker/drain.rs
+++ b/src/broker/drain.rs
@@ -2,8 +2,8 @@
 //!
 //! Guaranteed: while the balancer drains or shuts down, every established connection is selected for a move by the end
 //! of the drain or shutdown, spread evenly over that time. Connections that are established after the end are selected
-//! at once. The waits of moved connections end before the process may be killed. Not guaranteed: that a client that is
-//! asked to move disconnects.
+//! at once. During a shutdown, requests get their answers, and the waits of moved connections end, before the process may
+//! be killed. Not guaranteed: that a client that is asked to move disconnects.
 //!
 //! | state | LEAVE | JOIN | SIGTERM |
 //! | --- | --- | --- | --- |
@@ -21,8 +21,8 @@
 
 /// Time after the last move in which moved connections are closed. The process may be killed 0.7 s after the last move.
 const CLOSE_GRACE: Micros = 600_000;
-/// Part of [`CLOSE_GRACE`] that is kept for the last message to the client and the close, when data in flight is waited
-/// for.
+/// Part of [`CLOSE_GRACE`] that is kept for the last message to the client and the close, when data in flight or the
+/// answer to a request is waited for.
 const CLOSE_RESERVE: Micros = 300_000;
 /// Time that a connection is given in any case.
 const MIN_WAIT: Micros = 100_000;
@@ -35,6 +35,8 @@
     /// Until the process ends; `was_draining` if it was draining before.
     ShuttingDown {
         was_draining: bool,
+        /// Planned end of the shutdown. The process may be killed 0.7 s later.
+        planned_end: Micros,
     },
 }
 
@@ -86,7 +88,7 @@
     /// shutdown that did not start in a drain: the platform knows of the shutdown already, and where a successor shares
     /// the socket, a negative answer would be taken for the successor's.
     pub fn passes_health_checks(&self) -> bool {
-        !matches!(self.state, State::Draining | State::ShuttingDown { was_draining: true })
+        !matches!(self.state, State::Draining | State::ShuttingDown { was_draining: true, .. })
     }
 
     /// Handles LEAVE. Returns whether a drain has started.
@@ -114,17 +116,35 @@
     pub fn shut_down(&mut self, from: Micros, end: Micros) {
         match self.state {
             State::Serving => {
-                self.state = State::ShuttingDown { was_draining: false };
+                self.state = State::ShuttingDown { was_draining: false, planned_end: end };
                 self.schedule_moves(from, end);
             }
             State::Draining => {
-                self.state = State::ShuttingDown { was_draining: true };
+                self.state = State::ShuttingDown { was_draining: true, planned_end: end };
                 self.schedule.end = self.schedule.end.min(end);
             }
             State::ShuttingDown { .. } => {}
         }
     }
 
+    /// Returns the time by which every request must have its final answer; none unless the process is shutting down.
+    pub fn answer_limit(&self) -> Option<Micros> {
+        match self.state {
+            State::ShuttingDown { planned_end, .. } => {
+                Some(planned_end.saturating_add(CLOSE_GRACE - CLOSE_RESERVE))
+            }
+            State::Serving | State::Draining => None,
+        }
+    }
+
+    /// Returns the time by which every connection must be closed; none unless the process is shutting down.
+    pub fn close_limit(&self) -> Option<Micros> {
+        match self.state {
+            State::ShuttingDown { planned_end, .. } => Some(planned_end.saturating_add(CLOSE_GRACE)),
+            State::Serving | State::Draining => None,
+        }
+    }
+
     /// Returns until when a connection that is being moved may wait for data in flight, up to `timeout`. All such waits
     /// share the time that is left until the process may be killed.
     pub fn end_of_data_wait(&self, now: Micros, timeout: Micros) -> Micros {
@@ -271,6 +291,20 @@
             prop_assert_eq!(waits_in_full, !shuts_down || timeout <= MIN_WAIT);
         }
 
+        /// Requests have their answers and connections are closed before the kill, 0.7 s after the planned end, also where
+        /// a drain was scheduled to end before the shutdown began.
+        #[test]
+        fn answers_and_closes_are_due_before_the_kill(drained_before in proptest::option::of(0u64..10_000_000)) {
+            let (mut drain, begun, end) = (Drain::default(), 20_000_000, 23_000_000);
+            if let Some(span) = drained_before {
+                drain.start_drain(begun - span);
+            }
+            prop_assert_eq!((drain.answer_limit(), drain.close_limit()), (None, None));
+            drain.shut_down(begun, end);
+            let (answered, closed) = (drain.answer_limit().unwrap(), drain.close_limit().unwrap());
+            prop_assert!(end <= answered && answered < closed && closed < end + 700_000);
+        }
+
         /// Guards against a burst of moves: no step moves more than twice the even share while no client connects.
         #[test]
         fn moves_are_spread_evenly(established in 1usize..2_000) {
--- a/src/broker/mod.rs
+++ b/src/broker/mod.rs
@@ -122,6 +122,8 @@
     discovery_metrics: DiscoveryMetrics,
     /// Notifies the task that moves connections when a drain or shutdown starts.
     drain_started: Notify,
+    /// Time by which every request must have its final answer; `Micros::MAX` until a shutdown starts.
+    answer_limit: watch::Sender<Micros>,
     /// State of the list since the start of the process.
     list_state: watch::Sender<ListState>,
 }
@@ -156,6 +158,7 @@
             metrics: Metrics::new(classes),
             discovery_metrics: DiscoveryMetrics::default(),
             drain_started: Notify::new(),
+            answer_limit: watch::Sender::new(Micros::MAX),
             list_state: watch::Sender::new(ListState::Configured),
         };
         Ok((Rc::new(broker), request_receiver))
@@ -356,7 +359,10 @@
 
     /// Accepts a command, or refuses it by its contract or for lack of file descriptors.
     fn accept(self: &Rc<Self>, mut demand: Demand, team: Option<&str>) -> Result<Command, Refused> {
-        demand.left = demand.left.saturating_sub(ANSWER_MARGIN);
+        demand.left = demand.left.saturating_sub(ANSWER_MARGIN).min(self.time_to_answer());
+        if demand.left == 0 && self.is_shutting_down() {
+            return Err(Refused(None));
+        }
         // Contracts are checked first: a flood of commands that they refuse must not use up the descriptors that other
         // teams need.
         let admitted = {
@@ -557,10 +563,37 @@
         self.drain.borrow().is_shutting_down()
     }
 
-    /// Starts the shutdown: every service client is asked to reconnect between these times.
+    /// Starts the shutdown: every service client is asked to reconnect between these times, and requests get their answers
+    /// before the process may be killed.
     pub fn shut_down(&self, from: Micros, end: Micros) {
         self.drain.borrow_mut().shut_down(from, end);
         self.drain_started.notify_one();
+        let Some(answer_limit) = self.drain.borrow().answer_limit() else { return };
+        self.answer_limit.send_replace(answer_limit);
+        self.state.borrow_mut().core.limit_deadlines(answer_limit.saturating_sub(DEADLINE_GRACE));
+    }
+
+    /// Completes at the deadline of a request, sooner when a shutdown leaves no more time for its answer.
+    pub async fn request_deadline(&self, deadline: Micros) {
+        let mut limit = self.answer_limit.subscribe();
+        loop {
+            let end = deadline.min(*limit.borrow_and_update());
+            tokio::select! {
+                () = self.sleep_until(end) => return,
+                // The sender lives as long as the broker.
+                _ = limit.changed() => {}
+            }
+        }
+    }
+
+    /// Returns the longest time that the decision module may spend on a request that arrives now.
+    fn time_to_answer(&self) -> Micros {
+        self.answer_limit.borrow().saturating_sub(DEADLINE_GRACE).saturating_sub(self.now())
+    }
+
+    /// Returns whether the process, which is shutting down, must close its last connections now.
+    pub fn close_limit_passed(&self) -> bool {
+        self.drain.borrow().close_limit().is_some_and(|limit| self.now() >= limit)
     }
 
     /// Asks service clients to reconnect while this balancer drains or shuts down; does not return. Rebalancing is
--- a/src/placement.rs
+++ b/src/placement.rs
@@ -466,6 +466,11 @@
         }
     }
 
+    /// Limits the deadlines of the requests that have no answer yet: none is sent again at or after this time.
+    pub fn limit_deadlines(&mut self, limit: Micros) {
+        self.calls.values_mut().filter(|c| !c.established).for_each(|c| c.deadline = c.deadline.min(limit));
+    }
+
     /// Replaces the tenants. Those that stay keep their counts and retry budgets; new ones are inserted
     /// before the entries over all tenants.
     fn update_tenants(&mut self, mut tenants: Vec<Tenant>) {
--- a/src/serve/mod.rs
+++ b/src/serve/mod.rs
@@ -39,8 +39,8 @@
 const EXIT_GRACE: u64 = 2_000_000;
 /// Time after SIGTERM during which new connections still arrive, in microseconds, whether or not a newer process accepts them.
 const NEW_CONNECTIONS_AFTER_SIGTERM: u64 = 600_000;
-/// Time for final answers and the orderly close of idle connections at the planned end, in microseconds. SIGKILL follows 0.7 s
-/// after the planned end at the earliest.
+/// Shortest time for final answers and the orderly close of idle connections, in microseconds, for a process that was held up
+/// past the planned end.
 const FINAL_ANSWERS_SPAN: u64 = 300_000;
 /// Interval between two checks during shutdown whether the process may exit, in microseconds.
 const EXIT_POLL_INTERVAL: u64 = 20_000;
@@ -389,8 +389,8 @@
         if now >= end {
             // Idle connections get a final answer before the close: their clients may be sending a request at this moment.
             idle.evict_waiting();
-            let closed = connections.count() == 0
-                || now >= *final_answers_since.get_or_insert(now) + FINAL_ANSWERS_SPAN;
+            let answers_end = *final_answers_since.get_or_insert(now) + FINAL_ANSWERS_SPAN;
+            let closed = connections.count() == 0 || (now >= answers_end && broker.close_limit_passed());
             if closed && broker.active_commands() == 0 || now >= end + EXIT_GRACE {
                 break;
             }
--- a/tests/ending.rs
+++ b/tests/ending.rs
@@ -2,7 +2,9 @@
 
 mod peers;
 use peers::*;
-use std::sync::mpsc::channel;
+use std::net::SocketAddr;
+use std::sync::mpsc::{channel, Sender};
+use std::time::{Duration, Instant};
 
 /// Setting of a class with a deadline of 700 ms.
 const SHORT_DEADLINE: &str = "\"DeadlineMs\":700";
@@ -90,3 +92,43 @@
     let rest = client.receive_rest();
     assert!(rest.ends_with("MOVE\r\n"), "{rest:?}");
 }
+
+/// Earliest time of SIGKILL after SIGTERM where the longest deadline is 3 s or more.
+const KILL_DELAY: Duration = Duration::from_millis(3_700);
+
+/// Starts an instance that takes every request and never answers, and reports each first line.
+fn hanging_instance(reports: Sender<String>) -> SocketAddr {
+    spawn_instance(move |mut peer| {
+        let _ = reports.send(peer.receive_line());
+        peer.receive_rest();
+    })
+}
+
+/// Every request that was taken has its final answer before the process may be killed, also where its deadline is later
+/// and its only instance hangs: one sent before SIGTERM, one after it, and one that resumes a connection.
+#[test]
+fn requests_at_a_hanging_instance_are_answered_before_the_kill() {
+    let (reports, reported) = channel();
+    let list = [list_entry("s-00000001", hanging_instance(reports), "ready")];
+    let settings = SETTINGS
+        .replace("\"DeadlineMs\":2000", "\"DeadlineMs\":4800")
+        .replace("\"SendCap\":4", "\"SendCap\":1");
+    let balancer = Balancer::start_with(&Discovery::without_updates(), &list, None, &settings, "text");
+    let (mut before, mut resumed, mut after) =
+        (balancer.connect_client(), balancer.connect_client(), balancer.connect_client());
+    before.send_text("OPEN 1 a c=watch,d=4800\r\n");
+    resumed.send_text("OPEN 2 b c=watch,d=40000,at=s-00000001\r\n");
+    reported.recv().unwrap();
+    reported.recv().unwrap();
+    balancer.terminate();
+    let terminated_at = Instant::now();
+    balancer.wait_for_log("leaving: ");
+    after.send_text("OPEN 3 c c=watch,d=4800\r\n");
+    for (client, name) in [(&mut before, "before"), (&mut resumed, "resumed"), (&mut after, "after")] {
+        let answer = client.receive_line();
+        let waited = terminated_at.elapsed();
+        assert!(answer.starts_with("ERR") || answer.starts_with("BUSY"), "{name}: {answer}");
+        assert!(waited < KILL_DELAY, "{name}: answered {waited:?} after SIGTERM");
+        assert_eq!(client.receive_line(), "END", "{name}");
+    }
+}
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -258,3 +258,17 @@
         assert_eq!(sent_host(&node.demand(S, &format!("new{i}"), 0, Some(&format!("g{i}")))), Some(6));
     }
 }
+
+/// A request whose attempt fails when a shutdown leaves no more time for its answer is answered and not sent again, though
+/// its own deadline is later; an established connection keeps its own.
+#[test]
+fn no_request_is_sent_again_after_the_limit_of_a_shutdown() {
+    let mut node = Node::new(settings(), [1, 2, 3]);
+    let host = sent_host(&node.demand(0, "pending", 0, None)).expect("sent");
+    let standing = node.open_connection(0, "standing", None);
+    node.0.limit_deadlines(S);
+    let answered = node.finished(S, "pending", host, Outcome::Timeout);
+    assert!(refused(&answered), "{answered:?}");
+    let ended = node.report_finished(2 * S, "standing", standing, Outcome::Cancelled, true);
+    assert!(ended.is_empty(), "{ended:?}");
+}
--- a/tests/xmpp_restart.rs
+++ b/tests/xmpp_restart.rs
@@ -2,7 +2,7 @@
 //! process may be killed.
 
 mod peers;
-use peers::xmpp::{accept_login, establish, OPENING};
+use peers::xmpp::{accept_login, establish, log_in, FEATURES, OPENING};
 use peers::*;
 use std::sync::mpsc::channel;
 use std::thread;
@@ -22,6 +22,14 @@
     })
 }
 
+/// Returns the operator's file of an XMPP front whose only server has this address.
+fn operator_file(server: std::net::SocketAddr) -> String {
+    format!(
+        "[xmpp]\nlisten = \"127.0.0.1:0\"\n[xmpp.instances]\n\"s-00000001\" = \"{server}\"\n\
+         [[xmpp.service]]\ndomain = \"desk.example\"\nclass = \"watch\"\ngroup = \"jid\"\n"
+    )
+}
+
 /// Reads up to the stream error and the end of the connection. Returns when the stream had ended.
 fn read_goodbye(mut client: LineConnection) -> (String, Instant) {
     let last = client.receive_rest();
@@ -33,10 +41,7 @@
 fn every_xmpp_client_is_told_to_come_again_before_the_kill() {
     let rounds: usize = std::env::var("OAKDEAL_RESTART_ROUNDS").map_or(1, |rounds| rounds.parse().unwrap());
     let server = server();
-    let operator = format!(
-        "[xmpp]\nlisten = \"127.0.0.1:0\"\n[xmpp.instances]\n\"s-00000001\" = \"{server}\"\n\
-         [[xmpp.service]]\ndomain = \"desk.example\"\nclass = \"watch\"\ngroup = \"jid\"\n"
-    );
+    let operator = operator_file(server);
     let list = [list_entry("s-00000001", closed_address(), "ready")];
     let settings = SETTINGS.replace("\"DeadlineMs\":2000", "\"DeadlineMs\":4800");
     let discovery = Discovery::without_updates();
@@ -67,3 +72,32 @@
         }
     }
 }
+
+/// A log-in that was sent to a hanging server has its final answer before the process may be killed, also where its
+/// deadline is later.
+#[test]
+fn a_login_at_a_hanging_server_is_answered_before_the_kill() {
+    let (credentials_sender, credentials) = channel();
+    let server = spawn_instance(move |mut peer| {
+        peer.receive_until("version='1.0'");
+        peer.send_text(OPENING).send_text(FEATURES).receive_until("</auth>");
+        credentials_sender.send(()).unwrap();
+        peer.receive_rest();
+    });
+    let operator = operator_file(server);
+    let list = [list_entry("s-00000001", closed_address(), "ready")];
+    let settings = SETTINGS
+        .replace("\"DeadlineMs\":2000", "\"DeadlineMs\":4800")
+        .replace("\"SendCap\":4", "\"SendCap\":1");
+    let discovery = Discovery::without_updates();
+    let balancer = Balancer::start_with(&discovery, &list, Some(&operator), &settings, "text");
+    let client = log_in(&balancer, "u1");
+    credentials.recv().unwrap();
+    balancer.terminate();
+    let terminated_at = Instant::now();
+    let (answer, at) = read_goodbye(client);
+    // The class may be repeated, so the log-in is refused.
+    assert!(answer.starts_with("<failure") && answer.contains("<temporary-auth-failure/>"), "{answer:?}");
+    assert!(answer.ends_with("</stream:stream>"), "{answer:?}");
+    assert!(at - terminated_at < KILL_DELAY, "{:?}", at - terminated_at);
+}
