--- a/src/net/buffer.rs
+++ b/src/net/buffer.rs
@@ -51,17 +51,6 @@
         stream.try_read_buf(&mut self.bytes)
     }
 
-    /// Waits until bytes are available and reads them. Returns 0 at the end of the stream.
-    pub async fn read_tcp(&mut self, stream: &TcpStream, max_bytes: usize) -> io::Result<usize> {
-        loop {
-            stream.readable().await?;
-            match self.try_read(stream, max_bytes) {
-                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
-                other => return other,
-            }
-        }
-    }
-
     /// Waits for bytes from any stream and reads them. Returns 0 at its end.
     pub async fn read_from(
         &mut self,
--- a/src/net/links.rs
+++ b/src/net/links.rs
@@ -1,6 +1,7 @@
 //! Buffered connections of the line protocols; connecting to an instance, starting an execution there, and probes.
 
 use super::buffer::{strip_line_end, Buffer, MAX_LINE_BYTES};
+use super::turn::TurnBudget;
 use crate::api::{HostId, Outcome};
 use crate::broker::{Broker, Execution};
 use std::io;
@@ -14,17 +15,20 @@
     pub stream: TcpStream,
     /// Bytes that were read and not consumed.
     pub buffer: Buffer,
+    /// Bounds the work of this connection before other tasks run.
+    pub turn: TurnBudget,
 }
 
 impl Link {
     /// Returns a link on which nothing has been read.
     pub fn new(stream: TcpStream) -> Link {
-        Link { stream, buffer: Buffer::default() }
+        Link { stream, buffer: Buffer::default(), turn: TurnBudget::default() }
     }
 
     /// Writes all bytes.
     pub async fn write_all(&self, mut bytes: &[u8]) -> io::Result<()> {
         while !bytes.is_empty() {
+            self.turn.take_step().await;
             self.stream.writable().await?;
             match self.stream.try_write(bytes) {
                 Ok(n) => bytes = &bytes[n..],
@@ -35,6 +39,27 @@
         Ok(())
     }
 
+    /// Waits until bytes are available and reads them into the buffer, which holds fewer than `max_bytes`. Returns 0 at the
+    /// end of the stream.
+    pub async fn read(&mut self, max_bytes: usize) -> io::Result<usize> {
+        loop {
+            self.turn.take_step().await;
+            self.stream.readable().await?;
+            match self.try_read(max_bytes) {
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => {}
+                other => return other,
+            }
+        }
+    }
+
+    /// Reads the bytes that are available without waiting into the buffer, which holds fewer than `max_bytes`. Returns 0
+    /// at the end of the stream.
+    pub fn try_read(&mut self, max_bytes: usize) -> io::Result<usize> {
+        let n = self.buffer.try_read(&self.stream, max_bytes)?;
+        self.turn.record_bytes(n);
+        Ok(n)
+    }
+
     /// Reads until the buffer holds a whole line, and returns its length. The end of the stream and a line that is too
     /// long are errors.
     pub async fn read_line(&mut self) -> io::Result<usize> {
@@ -44,7 +69,7 @@
                 None if self.buffer.data().len() < MAX_LINE_BYTES => {}
                 _ => return Err(io::Error::new(io::ErrorKind::InvalidData, "a line of over 4 KiB")),
             }
-            if self.buffer.read_tcp(&self.stream, MAX_LINE_BYTES).await? == 0 {
+            if self.read(MAX_LINE_BYTES).await? == 0 {
                 return Err(io::ErrorKind::UnexpectedEof.into());
             }
         }
--- a/src/net/mod.rs
+++ b/src/net/mod.rs
@@ -9,6 +9,7 @@
 pub mod listener;
 pub mod platform;
 pub mod relay;
+pub mod turn;
 pub mod xmpp;
 
 use crate::broker::{Broker, NetworkRequest};
--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -242,7 +242,7 @@
     type Link = Link;
 
     async fn wait_gone(&mut self) -> ClientGone {
-        match self.link.buffer.read_tcp(&self.link.stream, MAX_LINE_BYTES).await {
+        match self.link.read(MAX_LINE_BYTES).await {
             Ok(n) if n > 0 => ClientGone::UnexpectedInput,
             _ => ClientGone::Left,
         }
--- a/src/net/relay.rs
+++ b/src/net/relay.rs
@@ -39,7 +39,7 @@
     /// incomplete last line becomes sendable too.
     fn read(&mut self, from: &mut Link, mut inspect: impl FnMut(&[u8])) -> io::Result<()> {
         while self.wants_read(from) {
-            match from.buffer.try_read(&from.stream, MAX_BUFFERED_BYTES) {
+            match from.try_read(MAX_BUFFERED_BYTES) {
                 Ok(0) => {
                     self.ended = true;
                     self.sendable = from.buffer.data().len();
@@ -139,7 +139,7 @@
         while remaining > 0 {
             let n = link.buffer.data().len();
             link.buffer.consume(n);
-            match link.buffer.read_tcp(&link.stream, MAX_LINE_BYTES).await {
+            match link.read(MAX_LINE_BYTES).await {
                 Ok(n) if n > 0 => remaining = remaining.saturating_sub(n),
                 _ => return,
             }
@@ -149,7 +149,8 @@
     idle.await_close(drained).await
 }
 
-/// Relays lines until the connection ends; the caller closes the client's connection.
+/// Relays lines until the connection ends; the caller closes the client's connection. In one step of a turn at most
+/// [`MAX_BUFFERED_BYTES`] are read each way.
 pub async fn relay_lines(
     client: &mut Link,
     mut instance: Link,
@@ -168,6 +169,8 @@
     }
     let mut last_traffic = now;
     loop {
+        client.turn.take_step().await;
+        instance.turn.take_step().await;
         let sides = async {
             tokio::select! {
                 r = wait_ready(&client.stream, up.wants_read(client), down.wants_write()) => r,
--- a/src/net/xmpp/stream.rs
+++ b/src/net/xmpp/stream.rs
@@ -4,6 +4,7 @@
 use crate::api::Micros;
 use crate::broker::Broker;
 use crate::net::buffer::Buffer;
+use crate::net::turn::TurnBudget;
 use rxml::error::EndOrError;
 use rxml::{Error, Event, Parse, Parser};
 use std::cell::Cell;
@@ -197,6 +198,8 @@
     broker: Rc<Broker>,
     /// When bytes were last received; 0 before that.
     last_received: Rc<Cell<Micros>>,
+    /// Bounds the work of this connection before other tasks run.
+    turn: TurnBudget,
 }
 
 impl<R: AsyncRead + Unpin> Reader<R> {
@@ -204,7 +207,16 @@
     pub fn new(half: R, limits: StreamLimits, broker: &Rc<Broker>) -> Reader<R> {
         let (buffer, framer) = (Buffer::default(), Framer::new());
         let (broker, last_received) = (broker.clone(), Rc::default());
-        Reader { half, buffer, framer, unit_started: None, limits, broker, last_received }
+        Reader {
+            half,
+            buffer,
+            framer,
+            unit_started: None,
+            limits,
+            broker,
+            last_received,
+            turn: TurnBudget::default(),
+        }
     }
 
     /// Returns when bytes were last received, kept up to date while the reader is in use elsewhere.
@@ -215,6 +227,7 @@
     /// Returns the next unit and its bytes. Cancel-safe: no bytes are lost if the future is dropped.
     pub async fn read_unit(&mut self) -> Result<(Unit, Vec<u8>), StreamEnd> {
         loop {
+            self.turn.take_step().await;
             if let Some((unit, n)) = self.framer.next_unit(self.buffer.data())? {
                 let bytes = self.buffer.data()[..n].to_vec();
                 self.buffer.consume(n);
@@ -233,6 +246,7 @@
                 biased;
                 read = self.buffer.read_from(&mut self.half, self.limits.max_unit_bytes) => match read {
                     Ok(n) if n > 0 => {
+                        self.turn.record_bytes(n);
                         let now = self.broker.now();
                         self.last_received.set(now);
                         self.unit_started.get_or_insert(now);
@@ -254,8 +268,9 @@
     /// indefinitely.
     pub async fn closed(&mut self) {
         while self.buffer.data().len() < self.limits.max_unit_bytes {
+            self.turn.take_step().await;
             match self.buffer.read_from(&mut self.half, self.limits.max_unit_bytes).await {
-                Ok(n) if n > 0 => {}
+                Ok(n) if n > 0 => self.turn.record_bytes(n),
                 _ => return,
             }
         }
@@ -272,6 +287,7 @@
         loop {
             let n = self.buffer.data().len();
             self.buffer.consume(n);
+            self.turn.take_step().await;
             if !matches!(self.buffer.read_from(&mut self.half, self.limits.max_unit_bytes).await, Ok(n) if n > 0)
             {
                 return;
