--- a/src/net/admin.rs
+++ b/src/net/admin.rs
@@ -163,28 +163,32 @@
     }
 }
 
+/// Returns the command of a received line with this length. One line per connection: more than that is a misuse of the
+/// protocol, and nothing is carried out.
+fn received_command(link: &Link, line_len: Option<usize>) -> Option<AdminCommand> {
+    line_len.filter(|&n| n == link.buffer.data().len())?;
+    AdminCommand::parse(strip_line_end(link.buffer.data()))
+}
+
 /// Serves one operator connection until it is closed.
 pub async fn serve(server: Rc<AdminServer>, stream: TcpStream, from: SocketAddr) {
     let mut link = Link::new(stream);
     let answer = {
         let slot = server.idle.acquire_slot();
-        let line = tokio::select! {
-            biased;
-            line = link.read_line() => line,
-            _ = slot.ended(server.idle.broker().now() + COMMAND_TIMEOUT) => return,
-        };
-        let command = match line {
-            // One line per connection: more than that is a misuse of the protocol, and nothing is carried out.
-            Ok(n) if n == link.buffer.data().len() => AdminCommand::parse(strip_line_end(link.buffer.data())),
-            Ok(_) => None,
-            Err(_) if link.buffer.data().is_empty() => return,
-            Err(_) => None,
-        };
-        if command.is_none() {
-            let received = String::from_utf8_lossy(link.buffer.data()).into_owned();
-            tracing::warn!("operator {from}: not a known command: {received:.40?}");
+        let deadline = server.idle.broker().now() + COMMAND_TIMEOUT;
+        match slot.receive(deadline, link.read_line()).await {
+            Ok(Err(_)) if link.buffer.data().is_empty() => return,
+            Ok(line) => {
+                let command = received_command(&link, line.ok());
+                if command.is_none() {
+                    let received = String::from_utf8_lossy(link.buffer.data()).into_owned();
+                    tracing::warn!("operator {from}: not a known command: {received:.40?}");
+                }
+                server.answer(command)
+            }
+            // The call may be on its way at this moment: it is answered, and not carried out.
+            Err(_) => "400 no call in time: connect again\r\n".into(),
         }
-        server.answer(command)
     };
     let written = async {
         if link.write_all(answer.as_bytes()).await.is_ok() {
--- a/src/net/idle.rs
+++ b/src/net/idle.rs
@@ -6,8 +6,10 @@
 use crate::broker::Broker;
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::future::Future;
 use std::rc::Rc;
 use tokio::sync::Notify;
+use tokio::task::yield_now;
 
 /// Time allowed for a whole first line or stream header, in microseconds. A sender that trickles bytes does not extend
 /// it.
@@ -70,13 +72,9 @@
 
     /// Waits until `closed` completes, for a client that has had its last line; ends early on a timeout or when
     /// the slot is needed for another connection.
-    pub async fn await_close(self: &Rc<Self>, closed: impl std::future::Future<Output = ()>) {
+    pub async fn await_close(self: &Rc<Self>, closed: impl Future<Output = ()>) {
         let slot = self.insert(false);
-        tokio::select! {
-            biased;
-            () = closed => {}
-            _ = slot.ended(self.broker.now() + CLOSE_TIMEOUT) => {}
-        }
+        let _ = slot.receive(self.broker.now() + CLOSE_TIMEOUT, closed).await;
     }
 }
 
@@ -97,8 +95,26 @@
 }
 
 impl IdleSlot {
+    /// Waits for something from the peer until `at` or until the connection is evicted. What has arrived by then is still
+    /// received: deadlines may be processed before the sockets are looked at, after the process was held up.
+    pub async fn receive<T>(&self, at: Micros, received: impl Future<Output = T>) -> Result<T, SlotEnd> {
+        let mut received = std::pin::pin!(received);
+        let end = tokio::select! {
+            biased;
+            received = &mut received => return Ok(received),
+            end = self.ended(at) => end,
+        };
+        // The runtime looks at all sockets before a task that has yielded runs again.
+        yield_now().await;
+        tokio::select! {
+            biased;
+            received = &mut received => Ok(received),
+            () = std::future::ready(()) => Err(end),
+        }
+    }
+
     /// Waits until `at` or until the connection is evicted, and returns which came first.
-    pub async fn ended(&self, at: Micros) -> SlotEnd {
+    async fn ended(&self, at: Micros) -> SlotEnd {
         tokio::select! {
             () = self.idle.broker.sleep_until(at) => SlotEnd::TimedOut,
             () = self.evicted.notified() => SlotEnd::Evicted,
--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -120,7 +120,9 @@
     Line(Vec<u8>),
     /// An error, to be answered with this line.
     Invalid(String),
-    /// The connection ended without a request; no answer is due.
+    /// Nothing came in time, or the slot is needed. The client may be sending a request at this moment, so it is refused.
+    Idle,
+    /// The client closed the connection without a request; no answer is due.
     NoRequest,
 }
 
@@ -129,23 +131,19 @@
     let slot = idle.acquire_slot();
     let mut deadline = client.broker.now() + FIRST_LINE_TIMEOUT;
     loop {
-        let line = tokio::select! {
-            biased;
-            line = client.link.read_line() => line,
-            end = slot.ended(deadline) => return match end {
-                SlotEnd::Evicted => FirstLine::Invalid("BUSY".into()),
-                SlotEnd::TimedOut if client.link.buffer.data().is_empty() => FirstLine::NoRequest,
-                SlotEnd::TimedOut => FirstLine::Invalid("ERR no whole line in time".into()),
-            },
-        };
-        let n = match line {
-            Ok(n) => n,
-            Err(e) if e.kind() == std::io::ErrorKind::InvalidData => {
+        let received = slot.receive(deadline, client.link.read_line()).await;
+        let n = match received {
+            Ok(Ok(n)) => n,
+            Err(SlotEnd::TimedOut) if !client.link.buffer.data().is_empty() => {
+                return FirstLine::Invalid("ERR no whole line in time".into())
+            }
+            Err(SlotEnd::TimedOut | SlotEnd::Evicted) => return FirstLine::Idle,
+            Ok(Err(e)) if e.kind() == std::io::ErrorKind::InvalidData => {
                 return FirstLine::Invalid(format!("ERR {e}"))
             }
             // Closed without a request, as the platform's health checks do.
-            Err(_) if client.link.buffer.data().is_empty() => return FirstLine::NoRequest,
-            Err(_) => return FirstLine::Invalid("ERR half a line".into()),
+            Ok(Err(_)) if client.link.buffer.data().is_empty() => return FirstLine::NoRequest,
+            Ok(Err(_)) => return FirstLine::Invalid("ERR half a line".into()),
         };
         let line = strip_line_end(&client.link.buffer.data()[..n]).to_vec();
         client.link.buffer.consume(n);
@@ -174,6 +172,7 @@
     let mut client = LineClient { link: Link::new(stream), broker: idle.broker().clone() };
     match read_first_line(&mut client, &idle).await {
         FirstLine::NoRequest => return,
+        FirstLine::Idle => client.answer("BUSY").await,
         FirstLine::Line(line) => {
             if let Err(answer) = handle_open(&mut client, &line).await {
                 tracing::warn!("client {from}: {answer}");
--- a/src/net/xmpp/login.rs
+++ b/src/net/xmpp/login.rs
@@ -31,13 +31,10 @@
 where
     LoginFailure: From<E>,
 {
-    tokio::select! {
-        biased;
-        result = result => Ok(result?),
-        end = slot.ended(at) => Err(match end {
-            SlotEnd::TimedOut => LoginFailure::StreamError("connection-timeout", "log in sooner"),
-            SlotEnd::Evicted => LoginFailure::StreamError("resource-constraint", "come again later"),
-        }),
+    match slot.receive(at, result).await {
+        Ok(result) => Ok(result?),
+        Err(SlotEnd::TimedOut) => Err(LoginFailure::StreamError("connection-timeout", "log in sooner")),
+        Err(SlotEnd::Evicted) => Err(LoginFailure::StreamError("resource-constraint", "come again later")),
     }
 }
 
--- a/src/net/xmpp/mod.rs
+++ b/src/net/xmpp/mod.rs
@@ -95,13 +95,11 @@
     let mut result = login(&front, &mut connection, &slot, deadline).await;
     if matches!(result, Ok(LoginStep::StartTls)) {
         let Some(tls) = front.tls.clone() else { return };
-        let accepted = tokio::select! {
-            accepted = tls.accept(connection.into_io()) => accepted,
-            _ = slot.ended(deadline) => return,
-        };
-        let io = match accepted {
-            Ok(io) => io,
-            Err(e) => return tracing::warn!("xmpp client {from}: TLS failed: {e}"),
+        let io = match slot.receive(deadline, tls.accept(connection.into_io())).await {
+            Ok(Ok(io)) => io,
+            // No answer can be sent before the handshake is complete.
+            Err(_) => return,
+            Ok(Err(e)) => return tracing::warn!("xmpp client {from}: TLS failed: {e}"),
         };
         connection = XmppConnection::new(Box::new(io), front.limits(), &broker);
         result = secure_login(&front, &mut connection, &slot, deadline).await.map(LoginStep::Login);
--- a/tests/lines.rs
+++ b/tests/lines.rs
@@ -220,7 +220,8 @@
     while slow.stream.write_all(b"O").is_ok() && started.elapsed() < Duration::from_secs(20) {
         std::thread::sleep(Duration::from_millis(50));
     }
-    assert_eq!(silent.pop().unwrap().receive_line(), "END");
+    let mut newest = silent.pop().unwrap();
+    assert_eq!((newest.receive_line().as_str(), newest.receive_line().as_str()), ("BUSY", "END"));
     assert!(started.elapsed() < Duration::from_secs(6), "{:?}", started.elapsed());
     let mut pinging = balancer.connect_client();
     assert_eq!(pinging.send_text("PING\r\n").receive_line(), "PONG");
