XMPP: the framer is a module of its own

No change of behaviour: Framer, Unit, Element and the namespaces move from stream.rs, which keeps reading and writing.

--- a/src/net/xmpp/dialer.rs
+++ b/src/net/xmpp/dialer.rs
@@ -1,7 +1,8 @@
 //! Replays a log-in to an instance, up to the instance's answer.
 
+use super::framer::{Element, StreamEnd, Unit, SASL, STREAMS};
 use super::login::Login;
-use super::stream::{Element, StreamEnd, Unit, XmppConnection, SASL, STREAMS};
+use super::stream::XmppConnection;
 use super::XmppFront;
 use crate::api::Outcome;
 use crate::broker::{Dialer, Execution};
--- a/src/net/xmpp/login.rs
+++ b/src/net/xmpp/login.rs
@@ -1,6 +1,7 @@
 //! The log-in of a service client, from the first byte of its connection to its credentials.
 
-use super::stream::{stream_error_xml, Element, StreamEnd, Unit, XmppConnection, CLOSE, SASL, STREAMS, TLS};
+use super::framer::{Element, StreamEnd, Unit, CLOSE, SASL, STREAMS, TLS};
+use super::stream::{stream_error_xml, XmppConnection};
 use super::{XmppFront, CLOSE_TIMEOUT};
 use crate::api::Micros;
 use crate::config::XmppService;
--- a/src/net/xmpp/mod.rs
+++ b/src/net/xmpp/mod.rs
@@ -3,6 +3,7 @@
 //! need a single client message can be replayed. The front is off unless the operator's file configures it.
 
 mod dialer;
+pub mod framer;
 mod login;
 pub mod relay;
 pub mod stream;
@@ -14,12 +15,13 @@
 };
 use crate::config::{Grouping, XmppSettings};
 use dialer::{AnsweredLogin, LoginDialer};
+use framer::{CLOSE, SASL, STREAMS};
 use login::{close_failed_login, login, secure_login, Login, LoginStep};
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
-use stream::{escape_xml, stream_error_xml, StreamLimits, XmppConnection, CLOSE, SASL, STREAMS};
+use stream::{escape_xml, stream_error_xml, StreamLimits, XmppConnection};
 use tokio::net::TcpStream;
 use tokio_rustls::rustls::pki_types::pem::PemObject;
 use tokio_rustls::rustls::pki_types::{CertificateDer, PrivateKeyDer};
--- a/src/net/xmpp/relay.rs
+++ b/src/net/xmpp/relay.rs
@@ -1,8 +1,7 @@
 //! Relays an established XMPP connection: whole stanzas in both directions, each with its own backpressure.
 
-use super::stream::{
-    stream_error_xml, Reader, StreamEnd, Unit, Writer, XmppConnection, CLOSE, STREAMS, STREAM_MANAGEMENT,
-};
+use super::framer::{StreamEnd, Unit, CLOSE, STREAMS, STREAM_MANAGEMENT};
+use super::stream::{stream_error_xml, Reader, Writer, XmppConnection};
 use super::{XmppFront, CLOSE_TIMEOUT};
 use crate::api::Micros;
 use crate::broker::{Broker, Command, ConnectionEnd, SilenceMonitor};
