--- a/src/net/xmpp/framer.rs
+++ b/src/net/xmpp/framer.rs
@@ -77,10 +77,10 @@
 /// Splits received bytes into units.
 pub struct Framer {
     parser: Parser,
-    /// Number of buffered bytes given to the parser.
+    /// Number of buffered bytes that the parser has consumed.
     parsed: usize,
-    /// Number of buffered bytes that the events returned so far account for.
-    reported: usize,
+    /// Position in the buffered bytes after the last event.
+    event_end: usize,
     depth: usize,
     element: Element,
 }
@@ -91,7 +91,18 @@
         let mut parser = Parser::new();
         // With buffering, keep-alive white space would be held back until the next stanza and look like a stalled one.
         parser.set_text_buffering(false);
-        Framer { parser, parsed: 0, reported: 0, depth: 0, element: Element::default() }
+        Framer { parser, parsed: 0, event_end: 0, depth: 0, element: Element::default() }
+    }
+
+    /// Returns the position after an event that the parser has just returned. The lengths that events report are not summed
+    /// up: they leave out bytes of letters that arrive in pieces and of CDATA sections.
+    fn event_end(&self, data: &[u8], event: &Event) -> usize {
+        // The parser ends a text when it has consumed the character that begins what follows it.
+        let follows_text = matches!(data[..self.parsed].last(), Some(b'<' | b'&'));
+        match event {
+            Event::Text(..) if follows_text => self.parsed - 1,
+            _ => self.parsed,
+        }
     }
 
     /// Returns the next unit at the start of the buffered bytes and its length; none while it is incomplete. Between two
@@ -113,7 +124,7 @@
                 }
                 // In some positions the parser reports them as a syntax error.
                 Err(EndOrError::Error(_)) => {
-                    let from = data[self.reported..].trim_ascii_start();
+                    let from = data[self.event_end..].trim_ascii_start();
                     let restricted = from.starts_with(b"<!") || from.starts_with(b"<?");
                     return Err(StreamEnd::Violation(if restricted {
                         "restricted-xml"
@@ -122,7 +133,7 @@
                     }));
                 }
             };
-            self.reported += event.metrics().len();
+            self.event_end = self.event_end(data, &event);
             let unit = match event {
                 Event::XmlDeclaration(..) => continue,
                 Event::StartElement(_, (namespace, name), attributes) => {
@@ -162,9 +173,9 @@
                     continue;
                 }
             };
-            let n = self.reported;
+            let n = self.event_end;
             self.parsed -= n;
-            self.reported = 0;
+            self.event_end = 0;
             return Ok(Some((unit, n)));
         }
     }
