XMPP: a partial request needs a bounded multiple of its length in memory

Callers saw: hundreds of clients that stop half way through a large request, or send very many short fields, take a process past its memory limit.

Cause: the framer recorded every descendant, text and attribute of every stanza; the parser keeps all attributes of a tag, which could be as long as a stanza; buffers doubled past their bound.

Change: content of negotiation elements only, at most 32 names; four attributes; tags of 8 KiB at most; exact buffer growth.

--- a/src/net/buffer.rs
+++ b/src/net/buffer.rs
@@ -40,7 +40,7 @@
             self.bytes.drain(..self.start);
             self.start = 0;
             let room = max_bytes.saturating_sub(self.bytes.len()).min(self.bytes.len().max(READ_BYTES));
-            self.bytes.reserve(room.max(1));
+            self.bytes.reserve_exact(room.max(1));
         }
     }
 
--- a/src/net/xmpp/framer.rs
+++ b/src/net/xmpp/framer.rs
@@ -15,6 +15,13 @@
 /// Closing tag of a stream.
 pub const CLOSE: &str = "</stream:stream>";
 
+/// Attributes that the front uses, on any element.
+const USED_ATTRIBUTES: [&str; 4] = ["to", "type", "version", "mechanism"];
+/// Number of descendants of an element whose names are recorded.
+const MAX_RECORDED_DESCENDANTS: usize = 32;
+/// Longest tag that is accepted, in bytes: it holds two of the longest addresses (3,071 bytes; RFC 7622, 3.1) and more.
+const MAX_TAG_BYTES: usize = 8 * 1024;
+
 /// The parts of a top-level element that the XMPP front uses.
 #[derive(Debug, Default, Clone)]
 pub struct Element {
@@ -22,12 +29,12 @@
     pub namespace: String,
     /// Name of the element.
     pub name: String,
-    /// Attributes without a namespace.
+    /// Those of its attributes that the front uses.
     pub attributes: Vec<(String, String)>,
-    /// Names of its descendants, at any depth.
+    /// Names of its first descendants, at any depth, if it is an element of stream negotiation.
     pub descendants: Vec<String>,
-    /// Its text and that of its descendants, in order.
-    pub texts: Vec<String>,
+    /// Its text and that of its descendants, if it is an element of stream negotiation.
+    pub text: String,
 }
 
 impl Element {
@@ -41,6 +48,11 @@
         self.namespace == namespace && self.name == name
     }
 
+    /// Returns whether the front uses the content of the element: stanzas are relayed unread.
+    fn has_used_content(&self) -> bool {
+        self.namespace == STREAMS || self.namespace == SASL
+    }
+
     /// Returns whether a descendant has this name.
     pub fn has_descendant(&self, name: &str) -> bool {
         self.descendants.iter().any(|n| n == name)
@@ -109,12 +121,19 @@
     /// units bytes are only appended, and those of a returned unit are removed.
     pub fn next_unit(&mut self, data: &[u8]) -> Result<Option<(Unit, usize)>, StreamEnd> {
         loop {
-            let mut rest = &data[self.parsed..];
+            // Only a tag is parsed without an event, and its attributes need many times its length in memory.
+            let parse_end = data.len().min(self.event_end + MAX_TAG_BYTES);
+            let mut rest = &data[self.parsed..parse_end];
             let event = self.parser.parse(&mut rest, false);
-            self.parsed = data.len() - rest.len();
+            self.parsed = parse_end - rest.len();
             let event = match event {
                 Ok(Some(event)) => event,
-                Ok(None) | Err(EndOrError::NeedMoreData) => return Ok(None),
+                Ok(None) | Err(EndOrError::NeedMoreData) => {
+                    return match parse_end < data.len() {
+                        true => Err(StreamEnd::Violation("policy-violation")),
+                        false => Ok(None),
+                    };
+                }
                 // DTDs, entities, comments and processing instructions are prohibited (RFC 6120, 11.1).
                 Err(EndOrError::Error(Error::RestrictedXml(_) | Error::UndeclaredEntity)) => {
                     return Err(StreamEnd::Violation("restricted-xml"))
@@ -139,10 +158,16 @@
                 Event::StartElement(_, (namespace, name), attributes) => {
                     self.depth += 1;
                     if self.depth > 2 {
-                        self.element.descendants.push(name.to_string());
+                        if self.element.has_used_content()
+                            && self.element.descendants.len() < MAX_RECORDED_DESCENDANTS
+                        {
+                            self.element.descendants.push(name.to_string());
+                        }
                         continue;
                     }
-                    let attributes = attributes.iter().filter(|((namespace, _), _)| namespace.is_empty());
+                    let attributes = attributes.iter().filter(|((namespace, name), _)| {
+                        namespace.is_empty() && USED_ATTRIBUTES.contains(&name.as_str())
+                    });
                     self.element = Element {
                         namespace: namespace.to_string(),
                         name: name.to_string(),
@@ -169,7 +194,9 @@
                     Unit::Space
                 }
                 Event::Text(_, text) => {
-                    self.element.texts.push(text);
+                    if self.element.has_used_content() {
+                        self.element.text.push_str(&text);
+                    }
                     continue;
                 }
             };
--- a/src/net/xmpp/login.rs
+++ b/src/net/xmpp/login.rs
@@ -195,8 +195,7 @@
     if !service.mechanisms.iter().any(|m| m == mechanism) {
         return Err(LoginFailure::SaslFailure("invalid-mechanism"));
     }
-    let text = element.texts.concat();
-    let decoded = match text.trim() {
+    let decoded = match element.text.trim() {
         "" | "=" => Vec::new(),
         text => STANDARD.decode(text).map_err(|_| LoginFailure::SaslFailure("incorrect-encoding"))?,
     };
--- a/src/net/xmpp/stream.rs
+++ b/src/net/xmpp/stream.rs
@@ -10,6 +10,9 @@
 use std::rc::Rc;
 use tokio::io::{AsyncRead, AsyncWrite, AsyncWriteExt, ReadHalf, WriteHalf};
 
+/// Memory that a writer with an empty queue keeps, in bytes: most connections are idle most of the time.
+const IDLE_QUEUE_BYTES: usize = 4096;
+
 /// A byte stream, plain or under TLS.
 pub trait ByteStream: AsyncRead + AsyncWrite + Unpin {}
 impl<T: AsyncRead + AsyncWrite + Unpin> ByteStream for T {}
@@ -159,6 +162,7 @@
             }
         }
         self.queue.clear();
+        self.queue.shrink_to(IDLE_QUEUE_BYTES);
         self.sent = 0;
         self.half.flush().await.map_err(|_| StreamEnd::Disconnected)
     }
