XMPP: a client that sends more than is kept before its answer is not sent on

A client that sent more than max_stanza behind its log-in was no longer read, so its close was never seen, and its log-in went on to a server afterwards.

Cause: Reader::closed waited for ever once its buffer was full.

Change: it ends as a violation; the client is answered at once, as one that speaks out of turn.

--- a/src/net/xmpp/mod.rs
+++ b/src/net/xmpp/mod.rs
@@ -15,7 +15,7 @@
 };
 use crate::config::{Grouping, XmppSettings};
 use dialer::{AnsweredLogin, LoginDialer};
-use framer::{CLOSE, SASL, STREAMS};
+use framer::{StreamEnd, CLOSE, SASL, STREAMS};
 use login::{close_failed_login, login, secure_login, Login, LoginStep};
 use std::cell::Cell;
 use std::net::SocketAddr;
@@ -157,8 +157,10 @@
     type Link = AnsweredLogin;
 
     async fn wait_gone(&mut self) -> ClientGone {
-        self.connection.reader.closed().await;
-        ClientGone::Left
+        match self.connection.reader.closed().await {
+            StreamEnd::Disconnected => ClientGone::Left,
+            StreamEnd::Violation(_) => ClientGone::UnexpectedInput,
+        }
     }
 
     async fn relay(
--- a/src/net/xmpp/stream.rs
+++ b/src/net/xmpp/stream.rs
@@ -103,17 +103,17 @@
         !self.buffer.data().is_empty()
     }
 
-    /// Waits until the peer has closed. Bytes received meanwhile are kept; once they reach the limit it waits
-    /// indefinitely.
-    pub async fn closed(&mut self) {
+    /// Waits until the peer has closed, or has sent more than is kept: bytes received meanwhile are kept up to the limit of
+    /// a unit. A peer that is not read could not be seen to close.
+    pub async fn closed(&mut self) -> StreamEnd {
         while self.buffer.data().len() < self.limits.max_unit_bytes {
             self.turn.take_step().await;
             match self.buffer.read_from(&mut self.half, self.limits.max_unit_bytes).await {
                 Ok(n) if n > 0 => self.turn.record_bytes(n),
-                _ => return,
+                _ => return StreamEnd::Disconnected,
             }
         }
-        std::future::pending().await
+        StreamEnd::Violation("policy-violation")
     }
 
     /// Expects a new stream on the same connection.
--- a/tests/xmpp.rs
+++ b/tests/xmpp.rs
@@ -463,6 +463,25 @@
     assert!(!reports.recv().unwrap().1.contains("<auth"));
 }
 
+/// A client that sends more than is kept behind its log-in could not be seen to close: it is answered at once and not sent
+/// on.
+#[test]
+fn a_login_followed_by_more_than_is_kept_is_not_sent() {
+    let (report_sender, reports) = channel();
+    let (address, open_sender) = delayed_server(report_sender);
+    let list = [list_entry("s-00000001", address, "ready")];
+    let operator = operator_file(&[("s-00000001", address)], "max_stanza = 10000");
+    let balancer = Balancer::start(&Discovery::without_updates(), &list, Some(&operator));
+    let mut client = log_in(&balancer, "ana");
+    assert_eq!(reports.recv().unwrap().1, "came");
+    client.send_text(&"<presence/>".repeat(10_000));
+    let answer = client.receive_rest();
+    assert!(answer.contains("spoke out of turn"), "{answer}");
+    open_sender.send(()).unwrap();
+    let received = reports.recv().unwrap().1;
+    assert!(!received.contains("<auth"), "{received}");
+}
+
 /// Where in a log-in a server ends it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 enum LoginStage {
