Records of groups are bounded where clients name ever new ones

Change: at 65,536 groups the counts are halved and groups with less than one request left are forgotten; below it no decision changes.

Measured: records_of_groups_are_bounded (150,000 requests, 100,000 groups); the large group is still cut into pieces.

--- a/src/placement.rs
+++ b/src/placement.rs
@@ -125,6 +125,8 @@
 const PIECE_EVEN_SHARES_SPARSE_VIEW: f64 = 4.0;
 /// Prior of group sizes: shape of a gamma distribution.
 const GROUP_PRIOR_SHAPE: f64 = 2.0;
+/// Number of groups whose requests are counted at most.
+const MAX_TRACKED_GROUPS: usize = 65_536;
 /// Prior of group sizes: number of request pairs that its mean is worth.
 const GROUP_PRIOR_PAIRS: f64 = 50.0;
 /// A tenant is over its share when it holds more than this multiple of its part of this node's connections:
@@ -546,6 +548,9 @@
         let mut ring_position = xxh64(key.as_bytes(), RING_HASH_SEED);
         if d.group.is_some() {
             if !d.returned {
+                if self.group_requests.len() >= MAX_TRACKED_GROUPS {
+                    self.forget_small_groups();
+                }
                 let seen = self.group_requests.entry(ring_position).or_insert(0.0);
                 self.same_group_pairs += 2.0 * *seen;
                 *seen += 1.0;
@@ -574,6 +579,23 @@
         d.call
     }
 
+    /// Halves the counts of all groups and drops those of which less than one request is left, so that clients that name
+    /// ever new groups take bounded memory and large groups stay known.
+    fn forget_small_groups(&mut self) {
+        self.group_requests.retain(|_, seen| {
+            *seen /= 2.0;
+            *seen >= 1.0
+        });
+        let counts = self.group_requests.values();
+        self.grouped_requests = counts.clone().sum();
+        self.same_group_pairs = counts.map(|seen| seen * (seen - 1.0)).sum();
+    }
+
+    /// Returns the number of groups whose requests are counted.
+    pub fn tracked_groups(&self) -> usize {
+        self.group_requests.len()
+    }
+
     /// Returns the number of pieces that a group is cut into, from its estimated part of all connections
     /// compared with an even share of a host. The requests that this node saw of the group are weighed
     /// against the mean group size, which follows from how often two requests fall into the same group.
--- a/tests/failures.rs
+++ b/tests/failures.rs
@@ -272,3 +272,18 @@
     let ended = node.report_finished(2 * S, "standing", standing, Outcome::Cancelled, true);
     assert!(ended.is_empty(), "{ended:?}");
 }
+
+/// Clients that name ever new groups do not make the records of groups grow without end, and a large group stays known: it
+/// is still cut into pieces.
+#[test]
+fn records_of_groups_are_bounded() {
+    let mut node = Node::new(settings(), 1..=10);
+    for n in 0..150_000 {
+        let group = if n % 3 == 0 { "large".to_string() } else { format!("new{n}") };
+        let host = node.open_connection(n, &format!("call{n}"), Some(&group));
+        node.report_finished(n, &format!("call{n}"), host, Outcome::Ok, true);
+    }
+    assert!(node.0.tracked_groups() <= 65_536, "{}", node.0.tracked_groups());
+    let count = place_group(&mut node, 200_000, "large", 30);
+    assert!(count.len() > 1, "{count:?}");
+}
