--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -12,6 +12,7 @@
     resume_connection, run_command, Broker, Client, ClientGone, Command, ConnectionEnd, Dialer, Execution,
     Failure, SilenceMonitor,
 };
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use tokio::net::TcpStream;
@@ -68,9 +69,8 @@
         }
         let open = open_line.parse(text).map_err(|_| "is not OPEN ID KEY NAME=VALUE,...")?;
         // A repeated name is ambiguous: this balancer and the instance might each use another value.
-        let is_repeated =
-            |(i, (name, _)): (usize, &(&str, &str))| open.fields[..i].iter().any(|(n, _)| n == name);
-        match open.fields.iter().enumerate().any(is_repeated) {
+        let names: BTreeSet<&str> = open.fields.iter().map(|(name, _)| *name).collect();
+        match names.len() < open.fields.len() {
             true => Err("names something twice".into()),
             false => Ok(open),
         }
