A client that sends health checks and reads no answer is closed

Such a client held its descriptor for ever, also after its slot was given to another: the write of PONG waited without a time limit, and outside the wait that an eviction ends.

--- a/src/net/platform.rs
+++ b/src/net/platform.rs
@@ -155,7 +155,9 @@
             };
         }
         let answer: &[u8] = if client.broker.passes_health_checks() { b"PONG\r\n" } else { b"NO\r\n" };
-        if client.link.write_all(answer).await.is_err() {
+        // A client that sends and does not read must not keep its slot, or its descriptor once it is evicted.
+        let written = slot.receive(client.broker.now() + ANSWER_WRITE_TIMEOUT, client.link.write_all(answer));
+        if !matches!(written.await, Ok(Ok(()))) {
             return FirstLine::NoRequest;
         }
         deadline = client.broker.now()
--- a/tests/resting.rs
+++ b/tests/resting.rs
@@ -3,6 +3,7 @@
 mod peers;
 use peers::xmpp::{accept_login, log_in, FEATURES, OPENING, SUCCESS};
 use peers::*;
+use std::io::{ErrorKind, Write};
 use std::sync::mpsc::channel;
 use std::thread;
 use std::time::Duration;
@@ -75,3 +76,21 @@
     assert!(silent.receive_line().starts_with("400 "));
     assert_eq!(silent.receive_line(), "END");
 }
+
+/// Clients that send health checks and read no answer are closed when their answers cannot be written, so that they hold
+/// no descriptor for ever.
+#[test]
+fn clients_that_read_no_answer_are_closed() {
+    let balancer = Balancer::start(&Discovery::without_updates(), &[], None);
+    let client = balancer.connect_client();
+    client.stream.set_write_timeout(Some(Duration::from_secs(20))).unwrap();
+    let block = b"PING\r\n".repeat(10_000);
+    // Ends when the balancer has closed the connection; a write that hangs fails the test.
+    let ended = loop {
+        if let Err(e) = (&client.stream).write_all(&block) {
+            break e;
+        }
+    };
+    let is_closed = matches!(ended.kind(), ErrorKind::ConnectionReset | ErrorKind::BrokenPipe);
+    assert!(is_closed, "{ended}");
+}
