--- a/src/net/xmpp/mod.rs
+++ b/src/net/xmpp/mod.rs
@@ -3,7 +3,7 @@
 //! need a single client message can be replayed. The front is off unless the operator's file configures it.
 
 mod dialer;
-pub mod framer;
+mod framer;
 mod login;
 pub mod relay;
 pub mod stream;
--- a/tests/fairness.rs
+++ b/tests/fairness.rs
@@ -2,7 +2,7 @@
 //! platform's protocol allows.
 
 mod peers;
-use peers::xmpp::{accept_login, establish, OPENING};
+use peers::xmpp::{accept_login, establish, operator_file, OPENING};
 use peers::*;
 use std::io::{Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
@@ -87,11 +87,7 @@
 }
 
 fn start_balancer() -> Balancer {
-    let operator = format!(
-        "[xmpp]\nlisten = \"127.0.0.1:0\"\n[xmpp.instances]\n\"s-00000001\" = \"{}\"\n\
-         [[xmpp.service]]\ndomain = \"desk.example\"\nclass = \"watch\"\ngroup = \"jid\"\n",
-        xmpp_server()
-    );
+    let operator = operator_file(xmpp_server());
     let list = [list_entry("s-00000001", instance_for_floods(), "ready")];
     Balancer::start_with_admin(&Discovery::without_updates(), &list, Some(&operator))
 }
--- a/tests/memory.rs
+++ b/tests/memory.rs
@@ -1,7 +1,7 @@
 //! Memory of the process under many clients that stop half way through a large request or send very many short fields.
 
 mod peers;
-use peers::xmpp::{accept_login, establish, OPENING};
+use peers::xmpp::{accept_login, establish, operator_file, OPENING};
 use peers::*;
 use std::io::Write;
 use std::thread;
@@ -42,10 +42,7 @@
         accept_login(&mut peer);
         peer.send_text(OPENING).send_text("<stream:features/>").receive_rest();
     });
-    let operator = format!(
-        "[xmpp]\nlisten = \"127.0.0.1:0\"\n[xmpp.instances]\n\"s-00000001\" = \"{server}\"\n\
-         [[xmpp.service]]\ndomain = \"desk.example\"\nclass = \"watch\"\ngroup = \"jid\"\n"
-    );
+    let operator = operator_file(server);
     let list = [list_entry("s-00000001", closed_address(), "ready")];
     Balancer::start(&Discovery::without_updates(), &list, Some(&operator))
 }
--- a/tests/peers/xmpp.rs
+++ b/tests/peers/xmpp.rs
@@ -2,6 +2,7 @@
 
 use super::{Balancer, LineConnection};
 use base64::Engine;
+use std::net::SocketAddr;
 
 pub const OPENING: &str =
     "<?xml version='1.0'?><stream:stream to='desk.example' version='1.0' xmlns='jabber:client' \
@@ -46,3 +47,11 @@
     peer.send_text(OPENING).send_text(FEATURES).receive_until("</auth>");
     peer.send_text(SUCCESS).receive_until("/streams'>");
 }
+
+/// Returns the operator's file of an XMPP front whose only server, `s-00000001`, has this address.
+pub fn operator_file(server: SocketAddr) -> String {
+    format!(
+        "[xmpp]\nlisten = \"127.0.0.1:0\"\n[xmpp.instances]\n\"s-00000001\" = \"{server}\"\n\
+         [[xmpp.service]]\ndomain = \"desk.example\"\nclass = \"watch\"\ngroup = \"jid\"\n"
+    )
+}
--- a/tests/resting.rs
+++ b/tests/resting.rs
@@ -1,7 +1,7 @@
 //! Connections that have sent nothing yet, and whose request arrives in the moment in which the balancer ends them.
 
 mod peers;
-use peers::xmpp::{accept_login, log_in, FEATURES, OPENING, SUCCESS};
+use peers::xmpp::{accept_login, log_in, operator_file, FEATURES, OPENING, SUCCESS};
 use peers::*;
 use std::io::{ErrorKind, Write};
 use std::sync::mpsc::channel;
@@ -48,10 +48,7 @@
         accept_login(&mut peer);
         peer.receive_rest();
     });
-    let operator = format!(
-        "[xmpp]\nlisten = \"127.0.0.1:0\"\n[xmpp.instances]\n\"s-00000001\" = \"{server}\"\n\
-         [[xmpp.service]]\ndomain = \"desk.example\"\nclass = \"watch\"\ngroup = \"jid\"\n"
-    );
+    let operator = operator_file(server);
     let list = [list_entry("s-00000001", closed_address(), "ready")];
     let balancer = Balancer::start(&Discovery::without_updates(), &list, Some(&operator));
     let mut client = LineConnection::connect(balancer.xmpp_address.unwrap());
--- a/tests/xmpp_framing.rs
+++ b/tests/xmpp_framing.rs
@@ -1,7 +1,7 @@
 //! XMPP stanzas in all forms that XML allows and in pieces of any size: each passes whole and at once, both ways.
 
 mod peers;
-use peers::xmpp::{accept_login, establish, OPENING};
+use peers::xmpp::{accept_login, establish, operator_file, OPENING};
 use peers::*;
 use std::net::SocketAddr;
 use std::sync::mpsc::{channel, Receiver, Sender};
@@ -53,10 +53,7 @@
 }
 
 fn start_balancer(server: SocketAddr) -> Balancer {
-    let operator = format!(
-        "[xmpp]\nlisten = \"127.0.0.1:0\"\n[xmpp.instances]\n\"s-00000001\" = \"{server}\"\n\
-         [[xmpp.service]]\ndomain = \"desk.example\"\nclass = \"watch\"\ngroup = \"jid\"\n"
-    );
+    let operator = operator_file(server);
     let list = [list_entry("s-00000001", closed_address(), "ready")];
     Balancer::start(&Discovery::without_updates(), &list, Some(&operator))
 }
--- a/tests/xmpp_restart.rs
+++ b/tests/xmpp_restart.rs
@@ -2,7 +2,7 @@
 //! process may be killed.
 
 mod peers;
-use peers::xmpp::{accept_login, establish, log_in, FEATURES, OPENING};
+use peers::xmpp::{accept_login, establish, log_in, operator_file, FEATURES, OPENING};
 use peers::*;
 use std::sync::mpsc::channel;
 use std::thread;
@@ -22,14 +22,6 @@
     })
 }
 
-/// Returns the operator's file of an XMPP front whose only server has this address.
-fn operator_file(server: std::net::SocketAddr) -> String {
-    format!(
-        "[xmpp]\nlisten = \"127.0.0.1:0\"\n[xmpp.instances]\n\"s-00000001\" = \"{server}\"\n\
-         [[xmpp.service]]\ndomain = \"desk.example\"\nclass = \"watch\"\ngroup = \"jid\"\n"
-    )
-}
-
 /// Reads up to the stream error and the end of the connection. Returns when the stream had ended.
 fn read_goodbye(mut client: LineConnection) -> (String, Instant) {
     let last = client.receive_rest();
