--- a/tests/client_disconnects.rs
+++ b/tests/client_disconnects.rs
@@ -87,3 +87,26 @@
     send_answer.send("UP 7\r\n").unwrap();
     assert_eq!(second_client.receive_line(), "UP 7");
 }
+
+/// A request of a class that forbids repeats may have run when its client disconnects: it is not sent again when it comes
+/// again under the same id.
+#[test]
+fn an_id_that_may_have_run_is_not_sent_again_where_repeats_are_forbidden() {
+    let (reports, reported) = channel();
+    let (a, send_answer) = scripted_instance(reports);
+    let settings = settings_with_long_connect_timeout().replace("\"free\"", "\"single_shot\"");
+    let list = [list_entry("s-00000001", a, "ready")];
+    let balancer = Balancer::start_with(&Discovery::without_updates(), &list, None, &settings, "text");
+    let mut client = balancer.connect_client();
+    client.send_text("OPEN 1 2 c=watch,d=8000\r\n");
+    assert!(reported.recv().unwrap().starts_with("OPEN 1 2"));
+    drop(client);
+    send_answer.send("").unwrap();
+    assert_eq!(reported.recv().unwrap(), "then END");
+    let mut second_client = balancer.connect_client();
+    second_client.send_text("OPEN 1 2 c=watch,d=8000\r\n");
+    // Without the fault no instance gets it; with it, the instance answers.
+    send_answer.send("UP 7\r\n").unwrap();
+    let answer = second_client.receive_line();
+    assert!(answer.starts_with("ERR"), "{answer}");
+}
